task: Name the reasons of a refused start

Cause: an owner that was fenced must tell that refusal from a busy agent, and a sentence is no type to branch on. Change: task.Refusal, carried as a number. Conclusion: the dispatcher can stop a stale owner at its first refusal.

--- a/common/task/task.go
+++ b/common/task/task.go
@@ -140,13 +140,49 @@
 	Forgotten
 )
 
+// Refusal tells why an agent did not start an attempt.
+type Refusal uint8
+
+const (
+	// Busy means that slots and queue were full, or a local queue timed out.
+	Busy Refusal = iota + 1
+	// Leaving means that the agent is draining.
+	Leaving
+	// Late means that the deadline had passed by the agent's clock.
+	Late
+	// StaleOwner means that a higher generation has fenced the job.
+	StaleOwner
+	// Withdrawn means that the attempt was cancelled or settled before.
+	Withdrawn
+	// Full means that the agent can't remember more starts or results.
+	Full
+	// Doubled means that the task has started here under another attempt.
+	Doubled
+	// Unsent means that the start never left the entry.
+	Unsent
+)
+
+// String returns the kebab-case name of the refusal.
+func (r Refusal) String() string {
+	names := [...]string{
+		"none", "busy", "leaving", "late", "stale-owner", "withdrawn",
+		"full", "doubled", "unsent",
+	}
+	if int(r) < len(names) {
+		return names[r]
+	}
+	return "unknown"
+}
+
 // Report is an agent's word on one task.
 type Report struct {
 	Task    ID
 	Attempt Attempt
 	State   State
+	// Refusal is set when State is Unstarted and a start was refused.
+	Refusal Refusal
 	// Response is set when State is Finished.
 	Response Response
-	// Reason is set when State is Broken or a start was refused.
+	// Reason is a sentence for people, set when State is Broken.
 	Reason string
 }
--- a/dispatcher/commands.go
+++ b/dispatcher/commands.go
@@ -49,8 +49,9 @@
 	Deadline time.Time
 }
 
-// Fence asks one agent to refuse all starts of a job below Generation. It's
-// answered by Fenced or FenceFailed.
+// Fence asks one agent to refuse all starts of a job below Generation, and to
+// remember the job's started tasks until Deadline. It's answered by Fenced or
+// FenceFailed.
 type Fence struct {
 	Agent      Peer
 	Job        task.JobID
