dispatcher: Carry the job's id on a submission

Cause: every response to a caller names its job, so the adapter must know the id before the core replies, and a keyless id is random. Ruled out: drawing it in the core, which has no random source of its own. Change: one field, which the receiver sets. Conclusion: caller, entry and agent logs can be joined by one id.

--- a/dispatcher/events.go
+++ b/dispatcher/events.go
@@ -21,7 +21,10 @@
 type Submission struct {
 	// Ticket receives exactly one Reply command.
 	Ticket Ticket
-	Team   task.Team
+	// Job derives from Team and Key, or is random without a key. The adapter
+	// draws it, so that the core needs no random numbers for it.
+	Job  task.JobID
+	Team task.Team
 	// Key is empty for submissions that may be repeated freely.
 	Key task.Key
 	// Digest covers method, path and body of the whole submission.
