--- a/loader/settings.go
+++ b/loader/settings.go
@@ -49,6 +49,21 @@
 	StopWithin time.Duration
 }
 
+// DefaultLimits returns the limits of an entry whose settings name none.
+func DefaultLimits() Limits {
+	return Limits{
+		HeaderBytes:  64 * kibibyte,
+		BodyBytes:    8 * mebibyte,
+		JobTasks:     2_000,
+		AnswerBytes:  16 * mebibyte,
+		QueueTasks:   20_000,
+		AnswerWithin: 10 * time.Second,
+		MaxDeadline:  5 * time.Minute,
+		KeepAnswers:  2 * time.Minute,
+		StopWithin:   30 * time.Second,
+	}
+}
+
 // Agent holds the settings of `agatevalve-agent`.
 type Agent struct {
 	// Name is unique among agents and survives restarts.
@@ -75,6 +90,15 @@
 	StopWithin time.Duration
 }
 
+// DefaultAgent returns the fields of an agent that its settings may leave out.
+func DefaultAgent() Agent {
+	return Agent{
+		Remember:    100_000,
+		ResultBytes: 32 * mebibyte,
+		StopWithin:  30 * time.Second,
+	}
+}
+
 // Platform holds the settings of the platform stand-in.
 type Platform struct {
 	// Listen is the address of the table service.
@@ -85,3 +109,13 @@
 	WritesPerSecond int
 	ReadsPerSecond  int
 }
+
+// DefaultPlatform returns the fields of the platform stand-in that its settings
+// may leave out.
+func DefaultPlatform() Platform {
+	return Platform{
+		WriteTakes:      4 * time.Millisecond,
+		WritesPerSecond: 500,
+		ReadsPerSecond:  2_000,
+	}
+}
