--- a/tabler/tabler.go
+++ b/tabler/tabler.go
@@ -56,6 +56,8 @@
 const (
 	// Claims holds one row per keyed job.
 	Claims = "claims"
+	// ClaimIndex holds the jobs of each claim transaction, by deadline.
+	ClaimIndex = "claim-index"
 	// Entries holds one row per live entry.
 	Entries = "entries"
 	// Revisions holds immutable configuration revisions.
