router: Compile, match and explain routes

Cause: requests need one decision per revision, and operators need every mistake in a configuration at once. Ruled out: net/http.ServeMux patterns, which panic on the first conflict and weigh method before path. Change: Check collects typed findings, Compile refuses them, Match takes host before path length before method, Explain shows what was weighed. A pool that no route names is a warning, since pools are made before their routes. Two routes hide each other only at the same host and prefix, which is written down.

--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,276 @@
+package router_test
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"agatevalve/common/fault"
+	"agatevalve/router"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+var desk = []router.Pool{{Name: "desk"}}
+
+func route(name, host, prefix, method string) router.Route {
+	return router.Route{Name: name, Host: host, PathPrefix: prefix, Method: method, Pool: "desk"}
+}
+
+func TestMostSpecificWins(t *testing.T) {
+	table, err := router.Compile(7, []router.Route{
+		route("any", "", "/", ""),
+		route("holds", "", "/holds", ""),
+		route("holds-post", "", "/holds", "POST"),
+		route("deep", "", "/holds/now", "GET"),
+		route("host", "a.example", "/", ""),
+		route("host-get", "b.example", "/x", "GET"),
+	}, desk)
+	is.New(t).NoErr(err)
+	cases := []struct{ method, host, path, want string }{
+		{"GET", "", "/", "any"},
+		{"GET", "", "/holdsome", "any"},
+		{"GET", "", "/holds", "holds"},
+		{"GET", "", "/holds/", "holds"},
+		{"POST", "", "/holds/7", "holds-post"},
+		{"GET", "", "/holds/now/7", "deep"},
+		{"POST", "", "/holds/now/7", "holds-post"},
+		{"PUT", "", "/holds/now", "holds"},
+		{"GET", "a.example", "/holds/now", "host"},
+		{"GET", "A.Example.", "/holds/now", "host"},
+		{"GET", "b.example", "/x/y", "host-get"},
+		{"POST", "b.example", "/x/y", "any"},
+		{"POST", "c.example", "/holds", "holds-post"},
+	}
+	for _, c := range cases {
+		t.Run(c.method+c.host+c.path, func(t *testing.T) {
+			is := is.New(t)
+			m := router.Match{Host: c.host, Path: c.path, Method: c.method}
+			plan, err := table.Match(m)
+			is.NoErr(err)
+			is.Equal(plan.Route.Name, c.want)
+			is.Equal(plan.Revision, uint64(7))
+			is.Equal(plan.Pool.Name, "desk")
+			e, err := table.Explain(m)
+			is.NoErr(err)
+			is.Equal(e.Plan, plan)
+		})
+	}
+}
+
+func TestMatchRefusals(t *testing.T) {
+	is := is.New(t)
+	table, err := router.Compile(1, []router.Route{route("a", "", "/a", "GET")}, desk)
+	is.NoErr(err)
+	_, err = table.Match(router.Match{Path: "/a", Method: "POST"})
+	is.Equal(fault.KindOf(err), fault.NotFound)
+	for _, m := range []router.Match{
+		{Path: "", Method: "GET"},
+		{Path: "/a/../b", Method: "GET"},
+		{Path: "/a/.", Method: "GET"},
+		{Path: "/a", Method: "CONNECT"},
+		{Path: "/a", Method: "get"},
+	} {
+		_, err = table.Match(m)
+		is.Equal(fault.KindOf(err), fault.Invalid)
+	}
+}
+
+func TestExplainNamesWhatWasWeighed(t *testing.T) {
+	is := is.New(t)
+	table, err := router.Compile(1, []router.Route{
+		route("any", "", "/", ""),
+		route("other", "b.example", "/a", ""),
+		route("put", "", "/a", "PUT"),
+		route("get", "", "/a", "GET"),
+		route("away", "", "/b", ""),
+	}, desk)
+	is.NoErr(err)
+	e, err := table.Explain(router.Match{Host: "a.example", Path: "/a/1", Method: "GET"})
+	is.NoErr(err)
+	var got []string
+	for _, w := range e.Weighed {
+		got = append(got, w.Route.Name+" "+string(w.Verdict))
+	}
+	is.Equal(got, []string{"other other-host", "get chosen", "put other-method", "any less-specific"})
+}
+
+func TestFindings(t *testing.T) {
+	all := []router.Route{route("any", "", "/", "")}
+	for _, m := range []string{"DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"} {
+		all = append(all, route("m-"+m, "", "/", m))
+	}
+	change := func(edit func(r *router.Route)) []router.Route {
+		r := route("a", "", "/a", "")
+		edit(&r)
+		return []router.Route{r}
+	}
+	cases := []struct {
+		name   string
+		routes []router.Route
+		pools  []router.Pool
+		want   router.Cause
+	}{
+		{"missing pool", change(func(r *router.Route) { r.Pool = "Desk" }), desk, router.MissingPool},
+		{"similar routes", []router.Route{route("a b", "", "/a", ""), route("AB", "", "/b", "")}, desk, router.SimilarName},
+		{"same routes", []router.Route{route("a", "", "/a", ""), route("a", "", "/b", "")}, desk, router.SimilarName},
+		{"similar pools", all[:1], []router.Pool{{Name: "desk"}, {Name: "DESK"}}, router.SimilarName},
+		{"ambiguous", []router.Route{route("a", "", "/a", "GET"), route("b", "", "/a", "GET")}, desk, router.AmbiguousRoute},
+		{"unreachable", all, desk, router.UnreachableRoute},
+		{"empty name", change(func(r *router.Route) { r.Name = "" }), desk, router.BadName},
+		{"control name", change(func(r *router.Route) { r.Name = "a\tb" }), desk, router.BadName},
+		{"port", change(func(r *router.Route) { r.Host = "a:80" }), desk, router.BadHost},
+		{"upper host", change(func(r *router.Route) { r.Host = "A" }), desk, router.BadHost},
+		{"relative", change(func(r *router.Route) { r.PathPrefix = "a" }), desk, router.BadPath},
+		{"empty path", change(func(r *router.Route) { r.PathPrefix = "" }), desk, router.BadPath},
+		{"final slash", change(func(r *router.Route) { r.PathPrefix = "/a/" }), desk, router.BadPath},
+		{"dots", change(func(r *router.Route) { r.PathPrefix = "/a/../b" }), desk, router.BadPath},
+		{"query", change(func(r *router.Route) { r.PathPrefix = "/a?b" }), desk, router.BadPath},
+		{"method", change(func(r *router.Route) { r.Method = "get" }), desk, router.BadMethod},
+		{"weight", change(func(r *router.Route) { r.WasteWeight = 101 }), desk, router.OutOfRange},
+		{"deadline", change(func(r *router.Route) { r.AnswerWithin = -time.Second }), desk, router.OutOfRange},
+		{"slots", all[:1], []router.Pool{{Name: "desk", SlotsPerMinion: -1}}, router.OutOfRange},
+		{"quota", all[:1], []router.Pool{{Name: "desk", Quotas: []router.Quota{{Team: "a"}}}}, router.OutOfRange},
+		{"quotas", all[:1], []router.Pool{{Name: "desk", Quotas: []router.Quota{{Team: "a", Weight: 1}, {Team: "a", Weight: 1}}}}, router.DoubledQuota},
+		{"too many", make([]router.Route, router.MostRoutes+1), desk, router.TooMany},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := router.Compile(1, c.routes, c.pools)
+			is.Equal(fault.KindOf(err), fault.Invalid)
+			var findings router.Findings
+			is.True(errors.As(err, &findings))
+			is.True(slices.ContainsFunc(findings, func(f router.Finding) bool {
+				return f.Cause == c.want && f.Remedy != "" && !f.Warning
+			}))
+		})
+	}
+}
+
+func TestAllFindingsAtOnce(t *testing.T) {
+	is := is.New(t)
+	bad := router.Route{Name: "a", Host: "A", PathPrefix: "a", Method: "x", Pool: "none", WasteWeight: -1}
+	_, err := router.Compile(1, []router.Route{bad}, nil)
+	var findings router.Findings
+	is.True(errors.As(err, &findings))
+	is.Equal(len(findings), 5)
+}
+
+func TestUnusedPoolIsAWarning(t *testing.T) {
+	is := is.New(t)
+	table, err := router.Compile(1, nil, desk)
+	is.NoErr(err)
+	is.Equal(len(table.Warnings()), 1)
+	is.Equal(table.Warnings()[0].Cause, router.UnusedPool)
+}
+
+// TestMatchAgreesWithScan compares Match with a scan over all routes.
+func TestMatchAgreesWithScan(t *testing.T) {
+	hosts := rapid.SampledFrom([]string{"", "", "a", "b"})
+	paths := rapid.Custom(func(t *rapid.T) string {
+		segments := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "aa", "b"}), 0, 3).Draw(t, "segments")
+		return "/" + strings.Join(segments, "/")
+	})
+	verbs := rapid.SampledFrom([]string{"", "GET", "POST"})
+	rapid.Check(t, func(t *rapid.T) {
+		seen := map[string]bool{}
+		var routes []router.Route
+		for i := range rapid.IntRange(0, 20).Draw(t, "routes") {
+			r := route(fmt.Sprintf("r%d", i), hosts.Draw(t, "host"), paths.Draw(t, "path"), verbs.Draw(t, "method"))
+			id := r.Host + " " + r.PathPrefix + " " + r.Method
+			if !seen[id] {
+				routes = append(routes, r)
+			}
+			seen[id] = true
+		}
+		table, err := router.Compile(1, routes, desk)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := router.Match{Host: hosts.Draw(t, "to"), Path: paths.Draw(t, "at"), Method: rapid.SampledFrom([]string{"GET", "POST"}).Draw(t, "by")}
+		plan, err := table.Match(m)
+		if want := scan(routes, m); want != plan.Route.Name || (want == "") != (err != nil) {
+			t.Fatalf("got %q (%v), want %q", plan.Route.Name, err, want)
+		}
+	})
+}
+
+func scan(routes []router.Route, m router.Match) string {
+	best, score := "", -1
+	for _, r := range routes {
+		inside := r.PathPrefix == "/" || m.Path == r.PathPrefix || strings.HasPrefix(m.Path, r.PathPrefix+"/")
+		if !inside || r.Host != "" && r.Host != m.Host || r.Method != "" && r.Method != m.Method {
+			continue
+		}
+		s := 10*len(r.PathPrefix) + len(r.Method)
+		if r.Host != "" {
+			s += 10_000
+		}
+		if s > score {
+			best, score = r.Name, s
+		}
+	}
+	return best
+}
+
+func large() ([]router.Route, []router.Pool) {
+	var routes []router.Route
+	var pools []router.Pool
+	for i := range 500 {
+		pools = append(pools, router.Pool{Name: fmt.Sprintf("pool-%d", i)})
+	}
+	for i := range 2000 {
+		routes = append(routes, router.Route{
+			Name: fmt.Sprintf("route-%d", i), Host: fmt.Sprintf("h%d.example", i%20),
+			PathPrefix: fmt.Sprintf("/team/%d/work", i), Pool: pools[i%500].Name,
+		})
+	}
+	return routes, pools
+}
+
+func TestMatchDoesNotAllocate(t *testing.T) {
+	routes, pools := large()
+	table, err := router.Compile(1, routes, pools)
+	is.New(t).NoErr(err)
+	m := router.Match{Host: "h3.example", Path: "/team/1983/work/of/today", Method: "GET"}
+	if n := testing.AllocsPerRun(100, func() { _, _ = table.Match(m) }); n != 0 {
+		t.Fatalf("%v allocations", n)
+	}
+}
+
+func BenchmarkMatch(b *testing.B) {
+	routes, pools := large()
+	table, _ := router.Compile(1, routes, pools)
+	m := router.Match{Host: "h3.example", Path: "/team/1983/work/of/today", Method: "GET"}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := table.Match(m); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkCompile(b *testing.B) {
+	routes, pools := large()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := router.Compile(1, routes, pools); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
