task: Name the refusal of an unreachable minion

Cause: a minion that accepts no connection got nothing of the task, which is proof of not-run, and no refusal says so. Ruled out: Busy, which invites more work at once. Change: Unreachable, after the other refusals; the encoder admits it. Conclusion: entries may start the task elsewhere, also a non-idempotent one.

--- a/common/task/task.go
+++ b/common/task/task.go
@@ -160,13 +160,15 @@
 	Doubled
 	// Unsent means that the start never left the entry.
 	Unsent
+	// Unreachable means that the minion accepted no connection.
+	Unreachable
 )
 
 // String returns the kebab-case name of the refusal.
 func (r Refusal) String() string {
 	names := [...]string{
 		"none", "busy", "leaving", "late", "stale-owner", "withdrawn",
-		"full", "doubled", "unsent",
+		"full", "doubled", "unsent", "unreachable",
 	}
 	if int(r) < len(names) {
 		return names[r]
