runner: Decide which starts run

Cause: the agent must start each task at most once, refuse truly, and bound its memory. Ruled out: forgetting the oldest refusals when full, because a doubled start would then run after a report of not-run; instead a horizon refuses every start with a deadline at or before that of a refusal beyond the bound.

--- /dev/null
+++ b/runner/starts.go
@@ -0,0 +1,189 @@
+package runner
+
+import (
+	"slices"
+
+	"agatevalve/common/task"
+)
+
+func (c *Core) arrive(e Arrived) {
+	if r := c.find(e.Start.Task); r != nil {
+		c.double(e, r)
+		return
+	}
+	if refusal := c.refusalOf(e.Start); refusal != 0 {
+		c.refuse(e, refusal)
+		return
+	}
+	r := &record{start: e.Start, askers: []task.Process{e.From}, phase: queued}
+	c.add(r)
+	c.queue = append(c.queue, r)
+	c.emit(Accept{To: e.From, Task: e.Start.Task, Attempt: e.Start.Attempt})
+}
+
+// double answers a start of a task that was accepted before with what is known
+// of the first start.
+func (c *Core) double(e Arrived, r *record) {
+	if e.Start.Attempt != r.start.Attempt {
+		c.refuse(e, task.Doubled)
+	} else {
+		r.addAsker(e.From)
+		c.emit(Accept{To: e.From, Task: r.start.Task, Attempt: r.start.Attempt})
+	}
+	if r.phase == ended {
+		c.emit(Send{To: e.From, Report: r.report})
+	}
+}
+
+func (c *Core) refuse(e Arrived, refusal task.Refusal) {
+	s := e.Start
+	c.refusals.add(c.now, attempt{s.Task, s.Attempt}, s.Deadline)
+	c.emit(Refuse{To: e.From, Report: unstarted(s.Task, s.Attempt, refusal)})
+}
+
+// refusalOf returns why a start can't be accepted, or 0.
+func (c *Core) refusalOf(s task.Start) task.Refusal {
+	switch {
+	case c.refusals.has(attempt{s.Task, s.Attempt}):
+		return task.Withdrawn
+	case c.leaving:
+		return task.Leaving
+	case !c.now.Before(s.Deadline):
+		return task.Late
+	case c.isStale(s):
+		return task.StaleOwner
+	case c.isFull(s):
+		return task.Full
+	case len(c.running)+len(c.queue) >= c.options.Slots+c.options.QueueLength:
+		return task.Busy
+	}
+	return 0
+}
+
+func (c *Core) isStale(s task.Start) bool {
+	j := c.jobs[s.Task.Job]
+	return j != nil && s.Generation < j.generation
+}
+
+// isFull reports whether the start, or the largest response to it, might not
+// be remembered.
+func (c *Core) isFull(s task.Start) bool {
+	open := len(c.running) + len(c.queue) + 1
+	return c.tasks >= c.options.Remember ||
+		c.resultBytes+open*c.options.ResponseBytes > c.options.ResultBytes ||
+		!s.Deadline.After(c.refusals.horizon)
+}
+
+// begin starts queued tasks while there are free slots.
+func (c *Core) begin() {
+	for len(c.queue) > 0 && len(c.running) < c.options.Slots {
+		r := c.queue[0]
+		c.queue = slices.Delete(c.queue, 0, 1)
+		r.phase = running
+		c.running = append(c.running, r)
+		c.emit(Run{Start: r.start})
+	}
+}
+
+// stopLate ends the minion calls whose deadline has passed.
+func (c *Core) stopLate() {
+	for _, r := range c.running {
+		if !c.now.Before(r.start.Deadline) {
+			c.stop(r, reasonDeadline)
+		}
+	}
+}
+
+// dropLate refuses the queued tasks whose deadline has passed.
+func (c *Core) dropLate() {
+	for _, r := range slices.Clone(c.queue) {
+		if !c.now.Before(r.start.Deadline) {
+			c.drop(r, task.Late)
+		}
+	}
+}
+
+func (c *Core) stop(r *record, reason string) {
+	if r.stopped != "" {
+		return
+	}
+	r.stopped = reason
+	c.emit(Stop{Task: r.start.Task, Attempt: r.start.Attempt})
+}
+
+// drop takes back the acceptance of a task that the minion didn't get.
+func (c *Core) drop(r *record, refusal task.Refusal) {
+	c.queue = without(c.queue, r)
+	c.running = without(c.running, r)
+	c.remove(r)
+	c.refusals.add(c.now, attempt{r.start.Task, r.start.Attempt}, r.start.Deadline)
+	for _, entry := range r.askers {
+		c.emit(Refuse{To: entry, Report: r.unstarted(refusal)})
+	}
+}
+
+func (c *Core) minionAnswered(e MinionAnswered) {
+	r := c.runningRecord(e.Task, e.Attempt)
+	if r == nil {
+		return
+	}
+	cost := costOf(e.Response)
+	if cost > c.options.ResponseBytes {
+		c.end(r, task.Report{State: task.Broken, Reason: reasonTooLarge})
+		return
+	}
+	r.cost = cost
+	c.resultBytes += cost
+	c.end(r, task.Report{State: task.Finished, Response: e.Response})
+}
+
+func (c *Core) minionFailed(e MinionFailed) {
+	r := c.runningRecord(e.Task, e.Attempt)
+	if r == nil {
+		return
+	}
+	reason := e.Reason
+	if r.stopped != "" {
+		reason = r.stopped
+	}
+	c.end(r, task.Report{State: task.Broken, Reason: reason})
+}
+
+func (c *Core) minionUnreached(e MinionUnreached) {
+	if r := c.runningRecord(e.Task, e.Attempt); r != nil {
+		c.drop(r, task.Unreachable)
+	}
+}
+
+func (c *Core) runningRecord(id task.ID, attempt task.Attempt) *record {
+	r := c.find(id)
+	if r == nil || r.phase != running || r.start.Attempt != attempt {
+		return nil
+	}
+	return r
+}
+
+// end frees the slot and sends the final report.
+func (c *Core) end(r *record, report task.Report) {
+	report.Task = r.start.Task
+	report.Attempt = r.start.Attempt
+	c.running = without(c.running, r)
+	r.phase = ended
+	r.report = report
+	r.start.Request = task.Request{}
+	r.until = r.start.Deadline.Add(ClockAllowance)
+	if j := c.jobs[r.start.Task.Job]; j.fencedUntil.After(r.until) {
+		r.until = j.fencedUntil
+	}
+	c.expiries.push(r.until, expiry{id: r.start.Task})
+	c.unacked[r.start.Task] = r
+	for _, entry := range r.askers {
+		if c.links[entry] {
+			c.emit(Send{To: entry, Report: report})
+		}
+	}
+}
+
+func without(records []*record, r *record) []*record {
+	return slices.DeleteFunc(records, func(other *record) bool { return other == r })
+}
