dispatcher: Decide claims, sends, settles and answers in one pure core

Cause: the entry needs one place that decides, which tests can drive without a network or a clock. Ruled out: a goroutine per job, whose interleavings no oracle could replay. Change: events in, commands out; queues shared by stride scheduling; the Expected policy with its baselines; takeover behind fences; settle in place of resend.

--- /dev/null
+++ b/dispatcher/members.go
@@ -0,0 +1,153 @@
+package dispatcher
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"agatevalve/balancer"
+	"agatevalve/common/task"
+)
+
+// peer is an agent that may be asked about attempts.
+type peer struct {
+	Peer
+	// open holds the attempts there whose fate is open.
+	open map[*send]*unit
+	// polling is true while a question about them is planned.
+	polling bool
+	// member is true while the agent is announced.
+	member bool
+}
+
+// heardFor is how long a frame proves that an agent is alive.
+const heardFor = 4 * time.Second
+
+// know keeps the address of an agent.
+func (c *Core) know(p Peer) *peer {
+	pr := c.peers[p.Process]
+	if pr == nil {
+		pr = &peer{Peer: p, open: make(map[*send]*unit)}
+		c.peers[p.Process] = pr
+	}
+	return pr
+}
+
+func (c *Core) announced(a Announcement) {
+	if !a.Expires.After(c.now) {
+		return
+	}
+	pr := c.know(a.Peer)
+	pr.Peer = a.Peer
+	if !pr.member {
+		pr.member = true
+		c.replaceOlder(a.Peer.Process)
+	}
+	c.chooser.Announce(balancer.Info{
+		ID: a.Peer.Process, Zone: a.Zone, Pools: a.Pools, Expires: a.Expires,
+	}, loadOf(a.Load))
+	c.wake(timer{at: a.Expires, kind: timerMembers})
+	c.markAgent(a.Peer.Process)
+}
+
+// replaceOlder forgets earlier incarnations of an agent that has restarted.
+func (c *Core) replaceOlder(id task.Process) {
+	for other, pr := range c.peers {
+		if other.Name == id.Name && other != id && pr.member {
+			pr.member = false
+			c.chooser.Forget(other)
+			c.release(pr)
+		}
+	}
+}
+
+func (c *Core) loadSeen(e LoadSeen) {
+	c.chooser.Observe(e.Agent, loadOf(e.Load))
+	c.chooser.Heard(e.Agent, c.now.Add(heardFor))
+	c.markAgent(e.Agent)
+}
+
+func (c *Core) expireMembers() {
+	for _, id := range c.chooser.Expired(c.now) {
+		c.forget(id)
+	}
+}
+
+// forget stops sending work to an agent. Attempts there stay open until they
+// are settled.
+func (c *Core) forget(id task.Process) {
+	c.chooser.Forget(id)
+	pr := c.peers[id]
+	if pr == nil {
+		return
+	}
+	pr.member = false
+	c.release(pr)
+}
+
+// release drops the address of an agent that nothing needs any more.
+func (c *Core) release(pr *peer) {
+	if !pr.member && len(pr.open) == 0 {
+		delete(c.peers, pr.Process)
+	}
+}
+
+func loadOf(l Load) balancer.Load {
+	return balancer.Load{Slots: l.Slots, Running: l.Running, Queued: l.Queued, Leaving: l.Leaving}
+}
+
+func sortSent(list []Sent) {
+	slices.SortFunc(list, func(a, b Sent) int {
+		if order := strings.Compare(string(a.Task.Job[:]), string(b.Task.Job[:])); order != 0 {
+			return order
+		}
+		if a.Task.Index != b.Task.Index {
+			return a.Task.Index - b.Task.Index
+		}
+		return int(a.Attempt) - int(b.Attempt)
+	})
+}
+
+// AgentView is what the core knows of one agent, for operators.
+type AgentView struct {
+	ID          task.Process
+	Pools       []string
+	Zone        string
+	Slots       int
+	Outstanding int
+	Others      int
+	Leaving     bool
+	Ejected     bool
+	// Speed is the minion's time per task over the mean of its pool.
+	Speed float64
+}
+
+// View is the state of the core, for operators.
+type View struct {
+	// Waiting and Running count tasks.
+	Waiting int
+	Running int
+	Agents  []AgentView
+}
+
+// View returns a copy of the state, with agents by name.
+func (c *Core) View() View {
+	var v View
+	for _, p := range c.pools {
+		v.Waiting += p.waiting
+		v.Running += p.sent()
+	}
+	for id := range c.peers {
+		m := c.chooser.Get(id)
+		if m == nil {
+			continue
+		}
+		v.Agents = append(v.Agents, AgentView{
+			ID: id, Pools: slices.Clone(m.Pools), Zone: m.Zone, Slots: m.Slots,
+			Outstanding: m.Own, Others: m.Others, Leaving: m.Leaving,
+			Ejected: c.chooser.Ejected(c.now, id), Speed: m.Speed,
+		})
+	}
+	slices.SortFunc(v.Agents, func(a, b AgentView) int { return strings.Compare(a.ID.Name, b.ID.Name) })
+	return v
+}
--- /dev/null
+++ b/dispatcher/retrying.go
@@ -0,0 +1,105 @@
+package dispatcher
+
+import (
+	"time"
+
+	"agatevalve/common/task"
+)
+
+const (
+	// maxRetries caps the starts of an idempotent task after failures.
+	maxRetries = 2
+	// retryShare is how many retries each good answer earns.
+	retryShare = 0.1
+	// retryReserve is the budget at start and its cap.
+	retryReserve = 10.0
+	// hedgeShare is how many hedges each good answer earns when a wasted
+	// message weighs nothing.
+	hedgeShare = 0.02
+	// hedgeReserve caps the hedges that can be saved up.
+	hedgeReserve = 10.0
+	// hedgeFactor times the high quantile of the service time makes a start slow.
+	hedgeFactor = 1.5
+	// fullWeight is the waste weight at which no hedge is sent.
+	fullWeight = 100
+)
+
+// budget holds the retries and hedges that answers have earned for one pool.
+type budget struct {
+	retries float64
+	hedges  float64
+}
+
+func (c *Core) budget(j *job) *budget {
+	name := j.submission.Plan.Pool.Name
+	b := c.budgets[name]
+	if b == nil {
+		b = &budget{retries: retryReserve}
+		c.budgets[name] = b
+	}
+	return b
+}
+
+// earn adds to the budgets for a good answer.
+func (c *Core) earn(j *job) {
+	b := c.budget(j)
+	weight := j.submission.Plan.Route.WasteWeight
+	b.retries = min(b.retries+retryShare, retryReserve)
+	b.hedges = min(b.hedges+hedgeShare*float64(fullWeight-weight)/fullWeight, hedgeReserve)
+}
+
+// mayRetry takes a retry from the budget.
+func (c *Core) mayRetry(u *unit) bool {
+	b := c.budget(u.job)
+	if u.retries >= maxRetries || b.retries < 1 || !c.anotherMinion(u) {
+		return false
+	}
+	b.retries--
+	return true
+}
+
+// anotherMinion reports whether a minion is left that hasn't had the task.
+func (c *Core) anotherMinion(u *unit) bool {
+	for _, m := range c.chooser.Pool(u.job.submission.Plan.Pool.Name) {
+		if u.allows(m.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// planHedge sets the time at which a start of an idempotent task counts as slow.
+func (c *Core) planHedge(u *unit, s *send) {
+	route := u.job.submission.Plan.Route
+	times := c.times(route.Name)
+	if s.hedged || !route.Idempotent || route.WasteWeight >= fullWeight || !times.learned() {
+		return
+	}
+	slow := time.Duration(float64(times.high) * hedgeFactor)
+	c.wake(timer{at: c.now.Add(slow), kind: timerHedge, unit: u, attempt: s.attempt})
+}
+
+// hedge sends a second start beside a slow one, if the budget and an idle
+// minion allow it and no task waits for that minion.
+func (c *Core) hedge(t timer) {
+	u := t.unit
+	j := u.job
+	if u.done || j.phase != phaseRunning || len(u.sends) != 1 || u.sends[0].attempt != t.attempt {
+		return
+	}
+	p := c.poolOf(j)
+	b := c.budget(j)
+	if p.waiting > 0 || b.hedges < 1 || c.doomed(j) {
+		return
+	}
+	slow := u.sends[0].agent
+	work := c.workOf(p, j)
+	allow := func(id task.Process) bool { return id != slow && u.allows(id) }
+	id, ok := c.chooser.Choose(c.now, p.name, j.submission.Plan.Pool.SlotsPerMinion, work, allow)
+	if !ok {
+		return
+	}
+	b.hedges--
+	c.counters.Hedges++
+	c.sendTo(u, id, true)
+}
--- /dev/null
+++ b/dispatcher/submitting.go
@@ -0,0 +1,289 @@
+package dispatcher
+
+import (
+	"net/http"
+	"time"
+
+	"agatevalve/common/task"
+	"agatevalve/queuer"
+	"agatevalve/router"
+)
+
+// replyMargin is how long before a deadline the reply leaves the core.
+const replyMargin = 10 * time.Millisecond
+
+// pool is the queue of one pool at this entry.
+type pool struct {
+	name  string
+	queue *queuer.Fair[*job]
+	// waiting counts the admitted units that aren't sent; never negative.
+	waiting int
+	// running counts the open sends of each team.
+	running map[task.Team]int
+	// dirty is true while the pool stands in line for a pump.
+	dirty bool
+	// pumpAt is when a pump is already due; zero when none is.
+	pumpAt time.Time
+}
+
+func (c *Core) submit(s Submission) {
+	c.counters.Submitted++
+	if j := c.jobs[s.Job]; j != nil && !c.restartable(j, s) {
+		c.join(j, s)
+		return
+	}
+	if refusal, ok := c.admit(s); !ok {
+		c.emit(Reply{Ticket: s.Ticket, Known: true, Answer: refusal})
+		return
+	}
+	j := newJob(s.Job, s)
+	c.jobs[s.Job] = j
+	c.addWaiter(j, &waiter{ticket: s.Ticket, job: j, deadline: s.Deadline})
+	c.wake(timer{at: s.Deadline.Add(-replyMargin), kind: timerJob, job: j})
+	c.line(j)
+	if !j.claimed() {
+		c.start(j)
+		return
+	}
+	j.claim = c.newClaim(j, 1, s.Deadline)
+	c.emit(WriteClaim{Claim: j.claim})
+}
+
+// restartable reports whether a kept answer must not stop a new run: the job
+// is idempotent and did not complete.
+func (c *Core) restartable(j *job, s Submission) bool {
+	return j.phase == phaseDone && !j.claimed() && j.answer.Outcome != task.Complete &&
+		j.submission.Digest == s.Digest
+}
+
+// join adds a resubmission to a job that is here already.
+func (c *Core) join(j *job, s Submission) {
+	c.counters.Joined++
+	if j.submission.Digest != s.Digest {
+		c.emit(Reply{Ticket: s.Ticket, Known: true, Answer: keyReused()})
+		return
+	}
+	if j.phase == phaseDone && j.answer.Outcome == task.NotRun && j.claimed() {
+		c.rerun(j, s)
+		return
+	}
+	if j.phase == phaseDone {
+		c.emit(Reply{Ticket: s.Ticket, Known: true, Answer: j.answer})
+		return
+	}
+	if !s.Deadline.After(c.now) {
+		c.emit(Reply{Ticket: s.Ticket, Known: true, Answer: stillOpen()})
+		return
+	}
+	c.addWaiter(j, &waiter{ticket: s.Ticket, job: j, deadline: s.Deadline})
+}
+
+// rerun claims a job again that is proved not to have run.
+func (c *Core) rerun(done *job, s Submission) {
+	if refusal, ok := c.admit(s); !ok {
+		c.emit(Reply{Ticket: s.Ticket, Known: true, Answer: refusal})
+		return
+	}
+	c.dropKept(done)
+	j := newJob(done.id, s)
+	c.jobs[j.id] = j
+	c.addWaiter(j, &waiter{ticket: s.Ticket, job: j, deadline: s.Deadline})
+	c.wake(timer{at: s.Deadline.Add(-replyMargin), kind: timerJob, job: j})
+	c.line(j)
+	j.claim = c.newClaim(j, done.claim.Generation+1, s.Deadline)
+	c.emit(TakeClaim{Old: done.claim, Claim: j.claim})
+}
+
+// admit refuses early what can't be served in time. The refusal of a keyed
+// submission can't prove that an earlier one with its key did not run.
+func (c *Core) admit(s Submission) (Answer, bool) {
+	outcome := task.NotRun
+	if s.Key != "" {
+		outcome = task.MayHaveRun
+	}
+	if c.draining {
+		return refuse(outcome, http.StatusServiceUnavailable, "this entry is stopping", "send it again, to another entry", c.now), false
+	}
+	if !s.Deadline.Add(-replyMargin).After(c.now) {
+		return refuse(outcome, http.StatusGatewayTimeout, "the deadline has passed", "send it again with a later deadline", time.Time{}), false
+	}
+	p := c.pool(s.Plan.Pool.Name)
+	limit := s.Plan.Pool.QueueLimit
+	if limit == 0 {
+		limit = c.options.QueueTasks
+	}
+	wait := c.expectedWait(p, s)
+	if p.waiting+len(s.Tasks) > limit {
+		return refuse(outcome, http.StatusTooManyRequests, "the queue of the pool is full", "send it again later", c.now.Add(wait)), false
+	}
+	if c.now.Add(wait).After(s.Deadline) {
+		return refuse(outcome, http.StatusServiceUnavailable, "the pool can't serve it before its deadline", "send it again later, or with a later deadline", c.now.Add(wait)), false
+	}
+	return Answer{}, true
+}
+
+// expectedWait estimates how long a submission waits before its last task is
+// sent, from the tasks in line and the slots that other entries leave.
+func (c *Core) expectedWait(p *pool, s Submission) time.Duration {
+	times := c.times(s.Plan.Route.Name)
+	slots, others := c.chooser.Capacity(c.now, p.name)
+	ahead := p.waiting + len(s.Tasks)
+	if slots == 0 || !times.learned() {
+		return 0
+	}
+	share := max(slots-others, 1)
+	running := min(p.sent(), share)
+	free := share - running
+	if ahead <= free {
+		return 0
+	}
+	rounds := float64(ahead-free) / float64(share)
+	return time.Duration(rounds * float64(times.mean))
+}
+
+func (p *pool) sent() int {
+	sum := 0
+	for _, n := range p.running {
+		sum += n
+	}
+	return sum
+}
+
+func (c *Core) addWaiter(j *job, w *waiter) {
+	j.waiters = append(j.waiters, w)
+	c.waiters[w.ticket] = w
+	if w.deadline.Before(j.submission.Deadline) {
+		c.wake(timer{at: w.deadline.Add(-replyMargin), kind: timerWaiter, ticket: w.ticket})
+	}
+}
+
+// withdraw removes a caller. A keyless job that nobody waits for is cancelled;
+// a keyed one goes on, since its caller may ask again.
+func (c *Core) withdraw(ticket Ticket) {
+	w := c.waiters[ticket]
+	if w == nil {
+		return
+	}
+	delete(c.waiters, ticket)
+	j := w.job
+	for i, other := range j.waiters {
+		if other == w {
+			j.waiters = append(j.waiters[:i], j.waiters[i+1:]...)
+			break
+		}
+	}
+	if len(j.waiters) == 0 && !j.keyed() {
+		c.finish(j, refuse(j.verdict(), statusClientClosed, "the caller went away", "send it again", time.Time{}))
+	}
+}
+
+// asked answers another entry's question or lets it wait.
+func (c *Core) asked(e Asked) {
+	j := c.jobs[e.Job]
+	if j == nil || j.submission.Team != e.Team {
+		c.emit(Reply{Ticket: e.Ticket})
+		return
+	}
+	if j.submission.Digest != e.Digest {
+		c.emit(Reply{Ticket: e.Ticket, Known: true, Answer: keyReused()})
+		return
+	}
+	if j.phase == phaseDone {
+		c.emit(Reply{Ticket: e.Ticket, Known: true, Answer: j.answer})
+		return
+	}
+	if j.phase == phaseAsking {
+		// Two entries that ask each other would wait for ever.
+		c.emit(Reply{Ticket: e.Ticket})
+		return
+	}
+	c.addWaiter(j, &waiter{ticket: e.Ticket, job: j, deadline: e.Deadline, entry: true})
+}
+
+func (c *Core) waiterDue(ticket Ticket) {
+	w := c.waiters[ticket]
+	if w == nil {
+		return
+	}
+	c.withdrawQuietly(w)
+	c.emit(Reply{Ticket: ticket, Known: true, Answer: stillOpen()})
+}
+
+func (c *Core) withdrawQuietly(w *waiter) {
+	delete(c.waiters, w.ticket)
+	for i, other := range w.job.waiters {
+		if other == w {
+			w.job.waiters = append(w.job.waiters[:i], w.job.waiters[i+1:]...)
+			return
+		}
+	}
+}
+
+// line accounts the job's units as waiting in its pool.
+func (c *Core) line(j *job) {
+	for i := len(j.units) - 1; i >= 0; i-- {
+		c.enqueue(&j.units[i])
+	}
+	p := c.poolOf(j)
+	mean := c.times(j.submission.Plan.Route.Name).mean
+	slots, _ := c.chooser.Capacity(c.now, p.name)
+	rounds := 1 + len(j.units)/max(slots, 1)
+	j.rank = c.now.Add(time.Duration(rounds) * mean)
+}
+
+// enqueue puts a unit in line to be sent.
+func (c *Core) enqueue(u *unit) {
+	if u.waiting || u.done {
+		return
+	}
+	u.waiting = true
+	u.job.pending = append(u.job.pending, u)
+	c.poolOf(u.job).waiting++
+}
+
+// unwait takes a unit out of line.
+func (c *Core) unwait(u *unit) {
+	if !u.waiting {
+		return
+	}
+	u.waiting = false
+	c.poolOf(u.job).waiting--
+}
+
+// start lets the job's tasks be sent.
+func (c *Core) start(j *job) {
+	j.phase = phaseRunning
+	c.queueJob(j)
+}
+
+func (c *Core) queueJob(j *job) {
+	p := c.poolOf(j)
+	c.mark(p)
+	if j.queued {
+		return
+	}
+	j.queued = true
+	p.queue.Push(j.submission.Team, weightOf(j.submission.Plan.Pool, j.submission.Team), j.rank, j)
+}
+
+func (c *Core) poolOf(j *job) *pool { return c.pool(j.submission.Plan.Pool.Name) }
+
+func (c *Core) pool(name string) *pool {
+	p := c.pools[name]
+	if p == nil {
+		p = &pool{name: name, queue: queuer.NewFair[*job](), running: make(map[task.Team]int)}
+		c.pools[name] = p
+	}
+	return p
+}
+
+func quotaOf(p router.Pool, team task.Team) router.Quota {
+	for _, q := range p.Quotas {
+		if q.Team == team {
+			return q
+		}
+	}
+	return router.Quota{Team: team, Weight: 1}
+}
+
+func weightOf(p router.Pool, team task.Team) int { return quotaOf(p, team).Weight }
--- /dev/null
+++ b/queuer/fair.go
@@ -0,0 +1,120 @@
+// Package queuer orders work between teams and within a team.
+package queuer
+
+import (
+	"time"
+
+	"agatevalve/common/heap"
+	"agatevalve/common/task"
+)
+
+// Fair is a queue that shares a pool between teams by weight, and orders the
+// work of one team by rank. Sharing follows stride scheduling (Waldspurger and
+// Weihl, 1995): the team that has used the least for its weight goes next.
+type Fair[T any] struct {
+	teams map[task.Team]*line[T]
+	// pass is the virtual time of the last team served; it never falls.
+	pass float64
+	// order numbers pushes, so that equal ranks stay first-in first-out.
+	order uint64
+}
+
+// line is the waiting work of one team.
+type line[T any] struct {
+	team   task.Team
+	weight int
+	// pass is the virtual time that the team has used, in cost per weight.
+	pass  float64
+	items *heap.Heap[entry[T]]
+}
+
+type entry[T any] struct {
+	rank  time.Time
+	order uint64
+	item  T
+}
+
+// NewFair returns an empty queue.
+func NewFair[T any]() *Fair[T] {
+	return &Fair[T]{teams: make(map[task.Team]*line[T])}
+}
+
+// Push adds an item to its team's line. Items with an earlier rank go first.
+// A weight below 1 counts as 1.
+func (f *Fair[T]) Push(team task.Team, weight int, rank time.Time, item T) {
+	l := f.line(team)
+	l.weight = max(weight, 1)
+	if l.items.Len() == 0 {
+		l.pass = max(l.pass, f.pass)
+	}
+	f.order++
+	l.items.Push(entry[T]{rank: rank, order: f.order, item: item})
+}
+
+// Peek returns the first item of the team that goes next among those that
+// skip doesn't exclude.
+func (f *Fair[T]) Peek(skip func(task.Team) bool) (task.Team, T, bool) {
+	var next *line[T]
+	for team, l := range f.teams {
+		if l.items.Len() == 0 || skip(team) {
+			continue
+		}
+		if next == nil || before(l, next) {
+			next = l
+		}
+	}
+	if next == nil {
+		var zero T
+		return "", zero, false
+	}
+	return next.team, next.items.Top().item, true
+}
+
+// Drop removes the first item of a team.
+func (f *Fair[T]) Drop(team task.Team) {
+	l := f.teams[team]
+	if l == nil || l.items.Len() == 0 {
+		return
+	}
+	l.items.Pop()
+}
+
+// Charge accounts cost to a team that was served.
+func (f *Fair[T]) Charge(team task.Team, cost time.Duration) {
+	l := f.line(team)
+	f.pass = max(f.pass, l.pass)
+	l.pass += cost.Seconds() / float64(max(l.weight, 1))
+}
+
+// Forget removes the accounts of teams that wait for nothing and owe nothing.
+func (f *Fair[T]) Forget() {
+	for team, l := range f.teams {
+		if l.items.Len() == 0 && l.pass <= f.pass {
+			delete(f.teams, team)
+		}
+	}
+}
+
+func (f *Fair[T]) line(team task.Team) *line[T] {
+	l := f.teams[team]
+	if l == nil {
+		l = &line[T]{team: team, weight: 1, pass: f.pass, items: heap.New(earlier[T])}
+		f.teams[team] = l
+	}
+	return l
+}
+
+// before breaks ties by name, so that the order doesn't hang on map iteration.
+func before[T any](a, b *line[T]) bool {
+	if a.pass != b.pass {
+		return a.pass < b.pass
+	}
+	return a.team < b.team
+}
+
+func earlier[T any](a, b entry[T]) bool {
+	if !a.rank.Equal(b.rank) {
+		return a.rank.Before(b.rank)
+	}
+	return a.order < b.order
+}
