loader: Take the notice that a stopping entry gives its balancer

Cause: a stopping entry turns unready first and has to serve on until its balancer has noticed, and that time depends on the balancer. Ruled out: a constant, which fits no second deployment. Change: stop-notice, 2 s when absent. Conclusion: the time is a setting with a default and a range.

--- a/loader/loader.go
+++ b/loader/loader.go
@@ -99,6 +99,7 @@
 		AnswerWithin: parser.Optional(o, "answer-within", d.AnswerWithin, parser.Duration(10*time.Millisecond, time.Hour)),
 		MaxDeadline:  parser.Optional(o, "max-deadline", d.MaxDeadline, parser.Duration(10*time.Millisecond, 24*time.Hour)),
 		KeepAnswers:  parser.Optional(o, "keep-answers", d.KeepAnswers, parser.Duration(time.Second, 24*time.Hour)),
+		StopNotice:   parser.Optional(o, "stop-notice", d.StopNotice, parser.Duration(0, time.Minute)),
 		StopWithin:   parser.Optional(o, "stop-within", d.StopWithin, parser.Duration(time.Second, time.Hour)),
 	}
 	if l.AnswerWithin > l.MaxDeadline {
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -45,6 +45,9 @@
 	MaxDeadline time.Duration
 	// KeepAnswers is how long an answer stays for resubmissions.
 	KeepAnswers time.Duration
+	// StopNotice is how long a stopping entry that is no longer ready still
+	// serves new callers, so that its balancer can notice.
+	StopNotice time.Duration
 	// StopWithin caps a planned stop.
 	StopWithin time.Duration
 }
@@ -60,6 +63,7 @@
 		AnswerWithin: 10 * time.Second,
 		MaxDeadline:  5 * time.Minute,
 		KeepAnswers:  2 * time.Minute,
+		StopNotice:   2 * time.Second,
 		StopWithin:   30 * time.Second,
 	}
 }
