--- a/router/compile.go
+++ b/router/compile.go
@@ -46,9 +46,9 @@
 }
 
 // Compile checks a configuration and makes it ready for matching. It returns a
-// fault of kind Invalid that wraps Findings when the configuration is refused.
+// fault of kind Invalid that wraps FindingsError when the configuration is refused.
 func Compile(revision uint64, routes []Route, pools []Pool) (*Table, error) {
-	var refused Findings
+	var refused FindingsError
 	var warnings []Finding
 	for _, f := range Check(routes, pools) {
 		if f.Warning {
--- a/router/finding.go
+++ b/router/finding.go
@@ -55,11 +55,11 @@
 	return fmt.Sprintf("%s %q: %s; %s", f.Table, f.Row, f.Text, f.Remedy)
 }
 
-// Findings is the error that refuses a configuration. It is never empty.
-type Findings []Finding
+// FindingsError is the error that refuses a configuration. It is never empty.
+type FindingsError []Finding
 
 // Error returns one line per finding.
-func (f Findings) Error() string {
+func (f FindingsError) Error() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%d findings", len(f))
 	for _, finding := range f {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -153,7 +153,7 @@
 			is := is.New(t)
 			_, err := router.Compile(1, c.routes, c.pools)
 			is.Equal(fault.KindOf(err), fault.Invalid)
-			var findings router.Findings
+			var findings router.FindingsError
 			is.True(errors.As(err, &findings))
 			is.True(slices.ContainsFunc(findings, func(f router.Finding) bool {
 				return f.Cause == c.want && f.Remedy != "" && !f.Warning
@@ -166,7 +166,7 @@
 	is := is.New(t)
 	bad := router.Route{Name: "a", Host: "A", PathPrefix: "a", Method: "x", Pool: "none", WasteWeight: -1}
 	_, err := router.Compile(1, []router.Route{bad}, nil)
-	var findings router.Findings
+	var findings router.FindingsError
 	is.True(errors.As(err, &findings))
 	is.Equal(len(findings), 5)
 }
