follower: Follow the configuration and never go back

Cause: entries must have each revision within seconds and keep it through an outage. A revision that was heard of and that the store does not have is not polled for again. Ruled out: fetching the revision from other entries (two sources of truth). Conclusion: outage, restart, refused revision and bogus number are tested.

--- /dev/null
+++ b/follower/follower_test.go
@@ -0,0 +1,198 @@
+package follower_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"agatevalve/common/fault"
+	"agatevalve/follower"
+	"agatevalve/historian"
+	"agatevalve/router"
+)
+
+// source serves the revision head, with one pool that names it.
+type source struct {
+	mu    sync.Mutex
+	head  uint64
+	down  bool
+	bad   uint64
+	polls int
+}
+
+func (s *source) Head(context.Context) (historian.Head, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.polls++
+	if s.down {
+		return historian.Head{}, fault.New(fault.Unavailable, "retry later", "down")
+	}
+	return historian.Head{Revision: s.head}, nil
+}
+
+func (s *source) Advance(_ context.Context, _ historian.Configuration, head historian.Head) (historian.Configuration, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return historian.Configuration{}, fault.New(fault.Unavailable, "retry later", "down")
+	}
+	c := historian.Configuration{Revision: head.Revision}
+	c.Pools = []router.Pool{{Name: "pool-" + strconv.FormatUint(head.Revision, 10)}}
+	if head.Revision == s.bad {
+		c.Pools[0].QueueLimit = -1
+	}
+	return c, nil
+}
+
+// set changes the source under its lock.
+func (s *source) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+func start(s *source) *follower.Follower {
+	return follower.New(follower.Options{Source: s, Random: rand.New(rand.NewPCG(1, 1))})
+}
+
+func after(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func TestFollows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &source{head: 3}
+		f := start(s)
+		defer f.Close()
+		is.True(!f.Ready())
+		is.Equal(f.Revision(), uint64(0))
+		synctest.Wait()
+		is.True(f.Ready())
+		is.Equal(f.Revision(), uint64(3))
+		s.set(func() { s.head = 4 })
+		after(2 * time.Second)
+		is.Equal(f.Revision(), uint64(4))
+		is.True(s.polls <= 4)
+	})
+}
+
+func TestNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &source{head: 3}
+		f := start(s)
+		defer f.Close()
+		synctest.Wait()
+		s.set(func() { s.head = 2 })
+		after(10 * time.Second)
+		is.Equal(f.Revision(), uint64(3))
+		s.set(func() { s.head = 5 })
+		after(2 * time.Second)
+		is.Equal(f.Revision(), uint64(5))
+	})
+}
+
+func TestHearingPollsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &source{head: 3}
+		f := start(s)
+		defer f.Close()
+		synctest.Wait()
+		s.set(func() { s.head = 4 })
+		f.Hear(4)
+		is.True(f.Ready())
+		after(100 * time.Millisecond)
+		is.Equal(f.Revision(), uint64(4))
+	})
+}
+
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &source{head: 3}
+		f := start(s)
+		defer f.Close()
+		synctest.Wait()
+		s.set(func() { s.down = true })
+		after(10 * time.Second)
+		is.Equal(f.Revision(), uint64(3))
+		is.True(f.Ready())
+		is.True(!f.Stale())
+		is.True(!f.Reachable())
+		f.Hear(4)
+		after(time.Second)
+		is.True(f.Stale())
+		is.True(f.Ready())
+		after(follower.Grace)
+		is.True(!f.Ready())
+		s.set(func() { s.down, s.head = false, 4 })
+		after(2 * time.Second)
+		is.True(f.Ready())
+		is.True(!f.Stale())
+		is.Equal(f.Revision(), uint64(4))
+	})
+}
+
+func TestNewFollowerHasNoGrace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &source{head: 3, down: true}
+		f := start(s)
+		defer f.Close()
+		f.Hear(3)
+		synctest.Wait()
+		is.True(!f.Ready())
+		is.True(f.Stale())
+		s.set(func() { s.down = false })
+		after(2 * time.Second)
+		is.True(f.Ready())
+	})
+}
+
+func TestRefusedRevisionIsNotSwappedIn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &source{head: 3}
+		f := start(s)
+		defer f.Close()
+		synctest.Wait()
+		s.set(func() { s.head, s.bad = 4, 4 })
+		after(10 * time.Second)
+		is.Equal(f.Revision(), uint64(3))
+		is.True(f.Stale())
+		is.True(!f.Ready())
+		s.set(func() { s.head = 5 })
+		after(2 * time.Second)
+		is.Equal(f.Revision(), uint64(5))
+		is.True(f.Ready())
+	})
+}
+
+func TestRevisionThatIsNotInTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &source{head: 3}
+		f := start(s)
+		defer f.Close()
+		synctest.Wait()
+		f.Hear(900)
+		after(time.Second)
+		is.True(f.Ready())
+		is.Equal(f.Known(), uint64(3))
+		polls := s.polls
+		for range 100 {
+			f.Hear(900)
+			after(10 * time.Millisecond)
+		}
+		is.True(s.polls-polls <= 2)
+	})
+}
