task: Name the refusal of an unreadable start

Cause: one start that an agent can't read ended the link, and with it every other task on it, again at each agent that the entry tried. Ruled out: ignoring it, because its caller then waits until the deadline. Change: Malformed; the agent refuses that attempt alone.

--- a/common/task/task.go
+++ b/common/task/task.go
@@ -162,13 +162,15 @@
 	Unsent
 	// Unreachable means that the minion accepted no connection.
 	Unreachable
+	// Malformed means that the agent couldn't read the start.
+	Malformed
 )
 
 // String returns the kebab-case name of the refusal.
 func (r Refusal) String() string {
 	names := [...]string{
 		"none", "busy", "leaving", "late", "stale-owner", "withdrawn",
-		"full", "doubled", "unsent", "unreachable",
+		"full", "doubled", "unsent", "unreachable", "malformed",
 	}
 	if int(r) < len(names) {
 		return names[r]
--- a/encoder/task.go
+++ b/encoder/task.go
@@ -131,7 +131,7 @@
 }
 
 func refusalFromWire(state task.State, refusal uint32) (task.Refusal, error) {
-	if refusal > uint32(task.Unreachable) {
+	if refusal > uint32(task.Malformed) {
 		return 0, invalid("the refusal %d is unknown", refusal)
 	}
 	if refusal != 0 && state != task.Unstarted {
--- a/runner/core.go
+++ b/runner/core.go
@@ -143,6 +143,8 @@
 	switch e := ev.(type) {
 	case Arrived:
 		c.arrive(e)
+	case Unreadable:
+		c.refuseUnreadable(e)
 	case Cancelled:
 		c.cancel(e)
 	case Acknowledged:
--- a/runner/events.go
+++ b/runner/events.go
@@ -17,6 +17,13 @@
 	Start task.Start
 }
 
+// Unreadable is a start that names its attempt and can't be read otherwise.
+type Unreadable struct {
+	From    task.Process
+	Task    task.ID
+	Attempt task.Attempt
+}
+
 // Cancelled means that nobody waits for an attempt any more.
 type Cancelled struct {
 	Task    task.ID
@@ -86,6 +93,7 @@
 type Tick struct{}
 
 func (Arrived) event()         {}
+func (Unreadable) event()      {}
 func (Cancelled) event()       {}
 func (Acknowledged) event()    {}
 func (Settled) event()         {}
--- a/runner/starts.go
+++ b/runner/starts.go
@@ -41,6 +41,15 @@
 	c.emit(Refuse{To: e.From, Report: unstarted(s.Task, s.Attempt, refusal)})
 }
 
+// refuseUnreadable refuses an attempt that was not accepted before.
+func (c *Core) refuseUnreadable(e Unreadable) {
+	if r := c.find(e.Task); r != nil && r.start.Attempt == e.Attempt {
+		return
+	}
+	c.refusals.add(c.now, attempt{e.Task, e.Attempt}, c.now.Add(CancelWindow))
+	c.emit(Refuse{To: e.From, Report: unstarted(e.Task, e.Attempt, task.Malformed)})
+}
+
 // refusalOf returns why a start can't be accepted, or 0.
 func (c *Core) refusalOf(s task.Start) task.Refusal {
 	switch {
