linker: Keep one stream to each agent and settle what broke

Cause: a start must be written at most once, and a connection that has gone silent must not be used again. Ruled out: a shared HTTP client, which dials and resends by itself; per-start calls, which cost a round trip and a frame each. Conclusion: what isn't proved unsent is settled, never sent again.

--- /dev/null
+++ b/linker/linker.go
@@ -0,0 +1,207 @@
+// Package linker is the entry's side of its links to agents. A link is one
+// stream over a connection of its own. A start is written to a link at most
+// once; when the link breaks or falls silent, the core settles what was sent
+// over a new connection instead of sending it again.
+package linker
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"agatevalve/common/task"
+	"agatevalve/dispatcher"
+)
+
+const (
+	// DefaultPingAfter is how long a link with outstanding work may bring no
+	// frame before it is probed.
+	DefaultPingAfter = 250 * time.Millisecond
+	// DefaultSilentAfter bounds the wait for any frame after a probe.
+	DefaultSilentAfter = 500 * time.Millisecond
+	// DefaultIdlePing is how long a link without outstanding work may bring no
+	// frame before it is probed.
+	DefaultIdlePing = 10 * time.Second
+	// DefaultRingSize caps the orders that wait to be written to one link.
+	DefaultRingSize = 4096
+	// DefaultMessageBytes caps one message from an agent.
+	DefaultMessageBytes = 48 << 20
+	// reopenAfter is the least time between two links to one agent.
+	reopenAfter = 100 * time.Millisecond
+)
+
+// Events takes what happened towards the core.
+type Events interface {
+	// Put waits for space and reports false when ctx ends first.
+	Put(ctx context.Context, ev dispatcher.Event) bool
+}
+
+// Options are the dependencies and limits of a Linker. Zero durations and
+// sizes take the defaults.
+type Options struct {
+	// Self is the entry that the links belong to.
+	Self   task.Process
+	Events Events
+	// Revision returns the configuration revision in force.
+	Revision func() uint64
+	// Hear takes the revision that an agent knows of.
+	Hear    func(revision uint64)
+	Log     *slog.Logger
+	Metrics metrics.Registry
+
+	PingAfter    time.Duration
+	SilentAfter  time.Duration
+	IdlePing     time.Duration
+	RingSize     int
+	MessageBytes int
+}
+
+// Linker keeps one link to each agent in use. It is safe for concurrent use.
+type Linker struct {
+	o        Options
+	counters counters
+	ctx      context.Context
+	cancel   context.CancelFunc
+	// group counts the goroutines of links and inquiries.
+	group sync.WaitGroup
+	// inquiries caps the settle and fence calls in flight.
+	inquiries chan struct{}
+
+	mu sync.Mutex
+	// links holds at most one open or opening link per run of an agent.
+	links map[task.Process]*link
+	// reopen holds the earliest time of the next link to an agent.
+	reopen map[task.Process]time.Time
+	closed bool
+}
+
+// New returns a linker without links.
+func New(o Options) *Linker {
+	o = o.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Linker{
+		o:         o,
+		counters:  newCounters(o.Metrics),
+		ctx:       ctx,
+		cancel:    cancel,
+		inquiries: make(chan struct{}, maxInquiries),
+		links:     make(map[task.Process]*link),
+		reopen:    make(map[task.Process]time.Time),
+	}
+}
+
+// Meet opens a link to an agent unless there is one.
+func (l *Linker) Meet(peer dispatcher.Peer) { l.link(peer) }
+
+// Send hands a start to the link without blocking. False proves that the start
+// has not left this process and never will.
+func (l *Linker) Send(peer dispatcher.Peer, start task.Start) bool {
+	k := l.link(peer)
+	if k == nil || !k.offerStart(start) {
+		l.counters.unsent.Inc(1)
+		return false
+	}
+	return true
+}
+
+// Cancel asks the agent to stop an attempt. It is dropped when the link is
+// gone, because the agent stops the attempt at its deadline anyway.
+func (l *Linker) Cancel(peer dispatcher.Peer, sent dispatcher.Sent) {
+	l.offer(peer, order{kind: cancelOrder, sent: sent})
+}
+
+// Acknowledge tells the agent that it may forget a result. It is dropped when
+// the link is gone, because the agent forgets the result in time anyway.
+func (l *Linker) Acknowledge(peer dispatcher.Peer, sent dispatcher.Sent) {
+	l.offer(peer, order{kind: ackOrder, sent: sent})
+}
+
+// Close cuts all links and ends all calls.
+func (l *Linker) Close() {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	l.cancel()
+	l.group.Wait()
+}
+
+func (l *Linker) offer(peer dispatcher.Peer, o order) {
+	l.mu.Lock()
+	k := l.links[peer.Process]
+	l.mu.Unlock()
+	if k == nil || !k.out.Offer(o) {
+		l.counters.ordersDropped.Inc(1)
+	}
+}
+
+// link returns the link to an agent and opens one if there is none. It returns
+// nil when the last link broke a moment ago or the linker is closed.
+func (l *Linker) link(peer dispatcher.Peer) *link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if k := l.links[peer.Process]; k != nil {
+		return k
+	}
+	now := time.Now()
+	if l.closed || now.Before(l.reopen[peer.Process]) {
+		return nil
+	}
+	delete(l.reopen, peer.Process)
+	k := newLink(l, peer)
+	l.links[peer.Process] = k
+	return k
+}
+
+// remove forgets a link that has ended.
+func (l *Linker) remove(k *link) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.links[k.peer.Process] != k {
+		return
+	}
+	delete(l.links, k.peer.Process)
+	now := time.Now()
+	for process, at := range l.reopen {
+		if at.Before(now) {
+			delete(l.reopen, process)
+		}
+	}
+	l.reopen[k.peer.Process] = now.Add(reopenAfter/2 + rand.N(reopenAfter))
+}
+
+func (l *Linker) put(ev dispatcher.Event) { l.o.Events.Put(l.ctx, ev) }
+
+func (o Options) withDefaults() Options {
+	if o.PingAfter == 0 {
+		o.PingAfter = DefaultPingAfter
+	}
+	if o.SilentAfter == 0 {
+		o.SilentAfter = DefaultSilentAfter
+	}
+	if o.IdlePing == 0 {
+		o.IdlePing = DefaultIdlePing
+	}
+	if o.RingSize == 0 {
+		o.RingSize = DefaultRingSize
+	}
+	if o.MessageBytes == 0 {
+		o.MessageBytes = DefaultMessageBytes
+	}
+	if o.Revision == nil {
+		o.Revision = func() uint64 { return 0 }
+	}
+	if o.Hear == nil {
+		o.Hear = func(uint64) {}
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewRegistry()
+	}
+	return o
+}
--- /dev/null
+++ b/linker/relay_test.go
@@ -0,0 +1,162 @@
+package linker_test
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"agatevalve/common/task"
+	"agatevalve/dispatcher"
+	"agatevalve/linker"
+	v1 "agatevalve/wire/agatevalvev1"
+)
+
+// relay passes bytes between a linker and an agent, and can stop passing those
+// of the connections that it has, while new ones work.
+type relay struct {
+	t        *testing.T
+	listener net.Listener
+	target   netip.AddrPort
+	group    sync.WaitGroup
+
+	mu sync.Mutex
+	// mute is the number of the newest connection that passes nothing.
+	mute  int
+	conns []net.Conn
+	count int
+}
+
+func newRelay(t *testing.T, target netip.AddrPort) *relay {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{t: t, listener: listener, target: target}
+	r.group.Go(r.accept)
+	t.Cleanup(r.close)
+	return r
+}
+
+func (r *relay) address() netip.AddrPort {
+	return netip.MustParseAddrPort(r.listener.Addr().String())
+}
+
+// silence stops all present connections from passing bytes. They stay open.
+func (r *relay) silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mute = r.count
+}
+
+func (r *relay) connections() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.count
+}
+
+func (r *relay) close() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	for _, c := range r.conns {
+		_ = c.Close()
+	}
+	r.mu.Unlock()
+	r.group.Wait()
+}
+
+func (r *relay) accept() {
+	for {
+		near, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", r.target.String())
+		if err != nil {
+			_ = near.Close()
+			continue
+		}
+		r.mu.Lock()
+		r.count++
+		number := r.count
+		r.conns = append(r.conns, near, far)
+		r.mu.Unlock()
+		r.group.Go(func() { r.pass(number, near, far) })
+		r.group.Go(func() { r.pass(number, far, near) })
+	}
+}
+
+func (r *relay) pass(number int, from, to net.Conn) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 && !r.isMute(number) {
+			_, err = to.Write(buffer[:n])
+		}
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+	}
+}
+
+func (r *relay) isMute(number int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return number <= r.mute
+}
+
+func TestSilentLinkIsSettledOverANewConnection(t *testing.T) {
+	arrived := make(chan struct{}, 1)
+	fake := &fakeAgent{process: agent}
+	fake.before = func(frame *v1.EntryFrame) error {
+		if len(frame.GetStarts()) > 0 {
+			arrived <- struct{}{}
+		}
+		return nil
+	}
+	// The agent has the task and says nothing of it over the link.
+	fake.reply = func(frame *v1.EntryFrame) *v1.AgentFrame {
+		return &v1.AgentFrame{From: &v1.Process{Name: agent.Name, Incarnation: uint64(agent.Incarnation)}, Pong: frame.GetPing()}
+	}
+	fake.settle = func(request *v1.SettleRequest) (*v1.SettleResponse, error) {
+		report := &v1.Report{Task: request.GetTasks()[0], State: v1.TaskState_TASK_STATE_FINISHED, Response: &v1.Response{Status: 200}}
+		return &v1.SettleResponse{Reports: []*v1.Report{report}}, nil
+	}
+	between := newRelay(t, fake.listen(t))
+	b := newBench(t, linker.Options{PingAfter: 50 * time.Millisecond, SilentAfter: 200 * time.Millisecond})
+	peer := dispatcher.Peer{Process: agent, Address: between.address()}
+	start := startOf(0)
+	b.is.True(b.linker.Send(peer, start))
+	<-arrived
+	between.silence()
+	b.is.Equal(await[dispatcher.LinkLost](b).Agent, agent)
+	b.linker.Settle(peer, []dispatcher.Sent{sentOf(start)})
+	settled := await[dispatcher.Settled](b)
+	b.is.Equal(settled.Reports[0].State, task.Finished)
+	b.is.True(between.connections() >= 2) // The silent connection was not used again.
+	fake.count(func() { b.is.Equal(len(fake.starts), 1) })
+}
+
+func TestSilentSettleIsTriedOverANewConnection(t *testing.T) {
+	fake := &fakeAgent{process: agent}
+	var between *relay
+	first := true
+	fake.settle = func(request *v1.SettleRequest) (*v1.SettleResponse, error) {
+		if first {
+			first = false
+			between.silence() // The reply to the first call is lost without a trace.
+		}
+		report := &v1.Report{Task: request.GetTasks()[0], State: v1.TaskState_TASK_STATE_UNSTARTED}
+		return &v1.SettleResponse{Reports: []*v1.Report{report}}, nil
+	}
+	between = newRelay(t, fake.listen(t))
+	b := newBench(t, linker.Options{})
+	peer := dispatcher.Peer{Process: agent, Address: between.address()}
+	b.linker.Settle(peer, []dispatcher.Sent{sentOf(startOf(0))})
+	b.is.Equal(await[dispatcher.Settled](b).Reports[0].State, task.Unstarted)
+	fake.count(func() { b.is.Equal(fake.settles, 2) })
+	b.is.Equal(between.connections(), 2)
+}
