receiver: Turn callers' requests and jobs into submissions

Cause: a caller has to get exactly one whole answer, or a refusal whose outcome is true, whatever it sends. Ruled out: encoding/json's own decoding of jobs, which lets doubled fields pass and replaces half surrogates silently. Change: requests and jobs are checked before anything is submitted; answers go out with their length known; refusals are problem documents after RFC 9457; a reply that the core owes at the deadline is given as may-have-run; a caller who leaves is withdrawn. Conclusion: what the limits exceed never reaches the core.

--- /dev/null
+++ b/receiver/receiver_test.go
@@ -0,0 +1,438 @@
+package receiver_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"agatevalve/common/ring"
+	"agatevalve/common/task"
+	"agatevalve/dispatcher"
+	"agatevalve/loader"
+	"agatevalve/receiver"
+	"agatevalve/router"
+	"agatevalve/waiter"
+)
+
+const (
+	jobType = "application/vnd.agatevalve.job+json"
+)
+
+// core stands in for the dispatcher: it keeps what reached it and answers each
+// submission by a function.
+type core struct {
+	events  *ring.Ring[dispatcher.Event]
+	waiters *waiter.Registry
+	// answer replies to a submission; false gives no reply.
+	answer func(dispatcher.Submission) (dispatcher.Answer, bool)
+
+	mu        sync.Mutex
+	submitted []dispatcher.Submission
+	withdrawn chan dispatcher.Ticket
+	arrived   chan dispatcher.Submission
+}
+
+func (c *core) run(ctx context.Context) {
+	var events []dispatcher.Event
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.events.Ready():
+		}
+		events, _ = c.events.TakeAll(events[:0])
+		for _, ev := range events {
+			c.take(ev)
+		}
+	}
+}
+
+func (c *core) take(ev dispatcher.Event) {
+	switch e := ev.(type) {
+	case dispatcher.Submitted:
+		c.mu.Lock()
+		c.submitted = append(c.submitted, e.Submission)
+		c.mu.Unlock()
+		if answer, ok := c.answer(e.Submission); ok {
+			c.waiters.Deliver(dispatcher.Reply{Ticket: e.Submission.Ticket, Known: true, Answer: answer})
+		}
+		c.arrived <- e.Submission
+	case dispatcher.Withdrawn:
+		c.withdrawn <- e.Ticket
+	}
+}
+
+func (c *core) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.submitted)
+}
+
+func echo(s dispatcher.Submission) (dispatcher.Answer, bool) {
+	answer := dispatcher.Answer{Outcome: task.Complete}
+	for _, r := range s.Tasks {
+		answer.Responses = append(answer.Responses, task.Response{
+			Status: http.StatusOK,
+			Header: http.Header{"X-Path": {r.Path}, "Connection": {"close"}},
+			Body:   []byte(r.Method + " " + string(r.Body)),
+		})
+	}
+	return answer, true
+}
+
+func smallLimits() loader.Limits {
+	limits := loader.DefaultLimits()
+	limits.HeaderBytes = 1 << 10
+	limits.BodyBytes = 2 << 10
+	limits.JobTasks = 3
+	limits.AnswerBytes = 4 << 10
+	limits.MaxDeadline = time.Hour
+	return limits
+}
+
+func serve(t *testing.T, limits loader.Limits, answer func(dispatcher.Submission) (dispatcher.Answer, bool)) (*core, *httptest.Server) {
+	t.Helper()
+	table, err := router.Compile(7,
+		[]router.Route{{Name: "holds", PathPrefix: "/holds", Pool: "desk"}},
+		[]router.Pool{{Name: "desk"}},
+	)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &core{
+		events:    ring.New[dispatcher.Event](64),
+		waiters:   waiter.New(),
+		answer:    answer,
+		withdrawn: make(chan dispatcher.Ticket, 64),
+		arrived:   make(chan dispatcher.Submission, 64),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.run(ctx)
+	}()
+	server := httptest.NewServer(receiver.New(receiver.Options{
+		Limits:  limits,
+		Events:  c.events,
+		Waiters: c.waiters,
+		Table:   func() *router.Table { return table },
+	}))
+	t.Cleanup(func() {
+		server.Close()
+		cancel()
+		<-done
+	})
+	return c, server
+}
+
+type problem struct {
+	Type, Title, Detail, Outcome, Remedy, Job string
+
+	Status int
+}
+
+func do(t *testing.T, method, url string, header map[string]string, body string) (*http.Response, string) {
+	t.Helper()
+	request, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, value := range header {
+		request.Header[name] = strings.Split(value, "|")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response, string(content)
+}
+
+func TestBadInputIsRefusedAndNeverSubmitted(t *testing.T) {
+	job := func(extra ...string) map[string]string {
+		header := map[string]string{"Content-Type": jobType}
+		for i := 0; i+1 < len(extra); i += 2 {
+			header[extra[i]] = extra[i+1]
+		}
+		return header
+	}
+	cases := []struct {
+		name   string
+		method string
+		path   string
+		header map[string]string
+		body   string
+		status int
+		detail string
+	}{
+		{"no route", "GET", "/elsewhere", nil, "", 404, ""},
+		{"operator path", "GET", "/metrics", nil, "", 404, "callers only"},
+		{"internal path", "POST", "/agatevalve.v1.EntryService/Status", nil, "", 404, "callers only"},
+		{"dot segment", "GET", "/holds/%2e%2e/x", nil, "", 400, "dot segment"},
+		{"large header", "GET", "/holds", map[string]string{"X-Long": strings.Repeat("x", 2000)}, "", 431, "more than 1024"},
+		{"large body", "POST", "/holds", nil, strings.Repeat("x", 3000), 413, "more than 2048"},
+		{"deadline without a zone", "GET", "/holds", map[string]string{"Agatevalve-Deadline": "2026-01-02T15:04:05"}, "", 400, "RFC 3339"},
+		{"deadline in the past", "GET", "/holds", map[string]string{"Agatevalve-Deadline": "2020-01-02T15:04:05Z"}, "", 400, "passed"},
+		{"deadline too far", "GET", "/holds", map[string]string{"Agatevalve-Deadline": "2999-01-02T15:04:05Z"}, "", 400, "too far"},
+		{"two deadlines", "GET", "/holds", map[string]string{"Agatevalve-Deadline": "a|b"}, "", 400, "twice"},
+		{"two teams", "GET", "/holds", map[string]string{"Agatevalve-Team": "a|b"}, "", 400, "twice"},
+		{"empty team", "GET", "/holds", map[string]string{"Agatevalve-Team": ""}, "", 400, "empty"},
+		{"long team", "GET", "/holds", map[string]string{"Agatevalve-Team": strings.Repeat("t", 101)}, "", 400, "101 bytes"},
+		{"two keys", "GET", "/holds", map[string]string{"Idempotency-Key": "a|b"}, "", 400, "twice"},
+		{"open quote", "GET", "/holds", map[string]string{"Idempotency-Key": `"abc`}, "", 400, "quoted"},
+		{"empty quoted key", "GET", "/holds", map[string]string{"Idempotency-Key": `""`}, "", 400, "quoted"},
+		{"key with a stray quote", "GET", "/holds", map[string]string{"Idempotency-Key": `"a"b"`}, "", 400, "quoted"},
+		{"upgrade", "GET", "/holds", map[string]string{"Upgrade": "websocket"}, "", 400, "protocol"},
+		{"job by PUT", "PUT", "/holds", job(), `{"tasks":[{}]}`, 405, "PUT"},
+		{"empty job", "POST", "/holds", job(), "", 400, "empty"},
+		{"not JSON", "POST", "/holds", job(), "{tasks", 400, "line 1|job:1"},
+		{"not an object", "POST", "/holds", job(), "[]", 400, "object"},
+		{"more after the job", "POST", "/holds", job(), `{"tasks":[{}]}{}`, 400, "JSON"},
+		{"no tasks field", "POST", "/holds", job(), `{}`, 400, "missing"},
+		{"no tasks", "POST", "/holds", job(), `{"tasks":[]}`, 400, "no tasks"},
+		{"too many tasks", "POST", "/holds", job(), `{"tasks":[{},{},{},{}]}`, 400, "4 items"},
+		{"unknown field", "POST", "/holds", job(), `{"tasks":[{"verb":"GET"}]}`, 400, "tasks[0].verb: unknown"},
+		{"unknown outer field", "POST", "/holds", job(), `{"tasks":[{}],"more":1}`, 400, "more: unknown"},
+		{"doubled field", "POST", "/holds", job(), `{"tasks":[{"path":"/a","path":"/b"}]}`, 400, "tasks[0].path: given twice"},
+		{"doubled outer field", "POST", "/holds", job(), `{"tasks":[{}],"tasks":[{}]}`, 400, "tasks: given twice"},
+		{"wrong type", "POST", "/holds", job(), "{\"tasks\":[{},\n{\"method\":1}]}", 400, "job:2: field tasks[1].method"},
+		{"null task", "POST", "/holds", job(), `{"tasks":[null]}`, 400, "tasks[0]"},
+		{"bad method", "POST", "/holds", job(), `{"tasks":[{"method":"GE T"}]}`, 400, "method"},
+		{"connect", "POST", "/holds", job(), `{"tasks":[{"method":"CONNECT"}]}`, 400, "method"},
+		{"relative path", "POST", "/holds", job(), `{"tasks":[{"path":"x"}]}`, 400, "path"},
+		{"foreign target", "POST", "/holds", job(), `{"tasks":[{"path":"http://elsewhere/"}]}`, 400, "path"},
+		{"dot segment in a task", "POST", "/holds", job(), `{"tasks":[{"path":"/a/../b"}]}`, 400, "dot segment"},
+		{"both bodies", "POST", "/holds", job(), `{"tasks":[{"body":"a","body-base64":"YQ=="}]}`, 400, "beside body"},
+		{"bad base64", "POST", "/holds", job(), `{"tasks":[{"body-base64":"YQ"}]}`, 400, "base64"},
+		{"half a character", "POST", "/holds", job(), `{"tasks":[{"body":"\ud83d"}]}`, 400, "surrogate"},
+		{"bad UTF-8", "POST", "/holds", job(), "{\"tasks\":[{\"body\":\"\xff\"}]}", 400, "UTF-8"},
+		{"header not a list", "POST", "/holds", job(), `{"tasks":[{"header":{"a":"b"}}]}`, 400, "header"},
+		{"doubled header", "POST", "/holds", job(), `{"tasks":[{"header":{"a":[],"a":[]}}]}`, 400, "twice"},
+		{"header in two spellings", "POST", "/holds", job(), `{"tasks":[{"header":{"a":[],"A":[]}}]}`, 400, "two spellings"},
+		{"bad header name", "POST", "/holds", job(), `{"tasks":[{"header":{"a b":["c"]}}]}`, 400, "valid name"},
+		{"header with a line break", "POST", "/holds", job(), `{"tasks":[{"header":{"a":["b\r\nc"]}}]}`, 400, "control character"},
+		{"header of the connection", "POST", "/holds", job(), `{"tasks":[{"header":{"connection":["close"]}}]}`, 400, "set by agatevalve"},
+		{"large task header", "POST", "/holds", job(), `{"tasks":[{"header":{"a":["` + strings.Repeat("x", 1024) + `"]}}]}`, 400, "1029 bytes"},
+	}
+	c, server := serve(t, smallLimits(), echo)
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			response, content := do(t, tc.method, server.URL+tc.path, tc.header, tc.body)
+			is.Equal(response.StatusCode, tc.status)
+			is.Equal(response.Header.Get("Content-Type"), "application/problem+json")
+			is.Equal(response.Header.Get("Content-Length"), strconv.Itoa(len(content)))
+			var p problem
+			is.NoErr(json.Unmarshal([]byte(content), &p))
+			is.Equal(p.Outcome, "not-run")
+			is.Equal(p.Status, tc.status)
+			is.True(strings.HasPrefix(p.Type, "urn:agatevalve:problem:"))
+			is.True(p.Remedy != "")
+			is.Equal(p.Job, response.Header.Get("Agatevalve-Job"))
+			is.Equal(len(p.Job), 32)
+			found := false
+			for _, want := range strings.Split(tc.detail, "|") {
+				found = found || strings.Contains(p.Detail, want)
+			}
+			if !found {
+				t.Errorf("detail %q lacks %q", p.Detail, tc.detail)
+			}
+		})
+	}
+	is.New(t).Equal(c.count(), 0) // Nothing reached the core.
+}
+
+func TestSingleRequestIsPassedOnWhole(t *testing.T) {
+	is := is.New(t)
+	c, server := serve(t, smallLimits(), echo)
+	header := map[string]string{"Agatevalve-Team": "desk", "Connection": "X-Hop", "X-Hop": "1", "X-Kept": "2"}
+	response, content := do(t, http.MethodPost, server.URL+"/holds/1?day=2", header, "hello")
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(content, "POST hello")
+	is.Equal(response.Header.Get("X-Path"), "/holds/1?day=2")
+	is.Equal(response.Header.Get("Content-Length"), "10")
+	s := <-c.arrived
+	is.Equal(s.Team, task.Team("desk"))
+	is.Equal(s.Plan.Revision, uint64(7))
+	is.Equal(s.Job.String(), response.Header.Get("Agatevalve-Job"))
+	is.Equal(s.Tasks[0].Header.Get("X-Kept"), "2")
+	is.Equal(s.Tasks[0].Header.Get("X-Hop"), "") // It concerns one connection.
+}
+
+func TestJobIsAnsweredWhole(t *testing.T) {
+	is := is.New(t)
+	c, server := serve(t, smallLimits(), echo)
+	body := `{"tasks":[{"method":"PUT","path":"/x?y=1","header":{"k":["v","w"]},"body":" a\u00e9 "},{"body-base64":"/w=="},{}]}`
+	header := map[string]string{"Content-Type": jobType + "; charset=utf-8", "Idempotency-Key": `"k-1"`}
+	response, content := do(t, http.MethodPost, server.URL+"/holds/many", header, body)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(response.Header.Get("Content-Type"), "application/vnd.agatevalve.job-answer+json")
+	is.Equal(response.Header.Get("Content-Length"), strconv.Itoa(len(content)))
+	var answer struct {
+		Job   string
+		Tasks []struct {
+			Status     int
+			Header     http.Header
+			Body       *string
+			BodyBase64 []byte `json:"body-base64"`
+		}
+	}
+	is.NoErr(json.Unmarshal([]byte(content), &answer))
+	is.Equal(answer.Job, task.KeyedJobID("", "k-1").String())
+	is.Equal(answer.Job, response.Header.Get("Agatevalve-Job"))
+	is.Equal(len(answer.Tasks), 3)
+	is.Equal(*answer.Tasks[0].Body, "PUT  aé ")
+	is.Equal(answer.Tasks[1].Body, nil)
+	is.Equal(answer.Tasks[1].BodyBase64, []byte("POST \xff"))
+	is.Equal(answer.Tasks[2].Header.Get("X-Path"), "/holds/many")
+	s := <-c.arrived
+	is.Equal(s.Tasks[0].Header["K"], []string{"v", "w"})
+	is.Equal(s.Tasks[0].Path, "/x?y=1")
+}
+
+func TestDigestTellsSubmissionsApart(t *testing.T) {
+	is := is.New(t)
+	c, server := serve(t, smallLimits(), echo)
+	digest := func(method, path, contentType, body string) task.Digest {
+		do(t, method, server.URL+path, map[string]string{"Content-Type": contentType}, body)
+		return (<-c.arrived).Digest
+	}
+	first := digest("POST", "/holds/1", jobType, `{"tasks":[{}]}`)
+	is.Equal(first, digest("POST", "/holds/1", jobType, `{"tasks":[{}]}`))
+	is.True(first != digest("POST", "/holds/2", jobType, `{"tasks":[{}]}`))
+	is.True(first != digest("POST", "/holds/1", jobType, `{"tasks":[{} ]}`))
+	is.True(first != digest("POST", "/holds/1", "application/json", `{"tasks":[{}]}`))
+	is.True(digest("POST", "/holds", "", "") != digest("PUT", "/holds", "", ""))
+}
+
+func TestFailuresKeepTheirOutcome(t *testing.T) {
+	cases := []struct {
+		name       string
+		answer     dispatcher.Answer
+		status     int
+		outcome    string
+		retryAfter string
+	}{
+		{"refused", dispatcher.Answer{Outcome: task.NotRun, Status: 429, Reason: "full", Remedy: "wait", RetryAt: time.Now().Add(-time.Second)}, 429, "not-run", "1"},
+		{"failed", dispatcher.Answer{Outcome: task.Failed, Status: 502, Reason: "broken", Remedy: "look"}, 502, "failed", ""},
+		{"in doubt", dispatcher.Answer{Outcome: task.MayHaveRun, Reason: "lost", Remedy: "look"}, 504, "may-have-run", ""},
+		{"too few responses", dispatcher.Answer{Outcome: task.Complete}, 502, "failed", ""},
+		{"bad status", dispatcher.Answer{Outcome: task.Complete, Responses: []task.Response{{Status: 101}}}, 502, "failed", ""},
+		{"answer too large", dispatcher.Answer{Outcome: task.Complete, Responses: []task.Response{{Status: 200, Body: make([]byte, 5000)}}}, 502, "failed", ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			_, server := serve(t, smallLimits(), func(dispatcher.Submission) (dispatcher.Answer, bool) { return tc.answer, true })
+			response, content := do(t, http.MethodGet, server.URL+"/holds", nil, "")
+			var p problem
+			is.NoErr(json.Unmarshal([]byte(content), &p))
+			is.Equal(response.StatusCode, tc.status)
+			is.Equal(p.Outcome, tc.outcome)
+			is.True(p.Remedy != "")
+			is.Equal(response.Header.Get("Retry-After"), tc.retryAfter)
+		})
+	}
+}
+
+func TestForgetfulCoreStillGivesAReplyInTime(t *testing.T) {
+	is := is.New(t)
+	limits := smallLimits()
+	limits.AnswerWithin = 50 * time.Millisecond
+	c, server := serve(t, limits, func(dispatcher.Submission) (dispatcher.Answer, bool) { return dispatcher.Answer{}, false })
+	response, content := do(t, http.MethodGet, server.URL+"/holds", nil, "")
+	is.Equal(response.StatusCode, http.StatusGatewayTimeout)
+	is.True(strings.Contains(content, `"may-have-run"`))
+	is.Equal(<-c.withdrawn, (<-c.arrived).Ticket)
+}
+
+func TestCallerThatLeavesIsWithdrawn(t *testing.T) {
+	is := is.New(t)
+	c, server := serve(t, smallLimits(), func(dispatcher.Submission) (dispatcher.Answer, bool) { return dispatcher.Answer{}, false })
+	ctx, leave := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+"/holds", strings.NewReader("x"))
+	is.NoErr(err)
+	gone := make(chan error, 1)
+	go func() {
+		response, err := http.DefaultClient.Do(request)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		gone <- err
+	}()
+	s := <-c.arrived
+	leave()
+	is.True(<-gone != nil)
+	is.Equal(<-c.withdrawn, s.Ticket)
+	// A late reply finds nobody, and no other caller gets it.
+	is.True(!c.waiters.Deliver(dispatcher.Reply{Ticket: s.Ticket}))
+}
+
+func TestCrossedRepliesReachTheirOwnCallers(t *testing.T) {
+	is := is.New(t)
+	c, server := serve(t, smallLimits(), func(dispatcher.Submission) (dispatcher.Answer, bool) { return dispatcher.Answer{}, false })
+	const callers = 20
+	var group sync.WaitGroup
+	for i := range callers {
+		group.Go(func() {
+			want := fmt.Sprintf("body-%d", i)
+			_, content := do(t, http.MethodPost, server.URL+"/holds", nil, want)
+			if content != "POST "+want {
+				t.Errorf("caller %d got %q", i, content)
+			}
+		})
+	}
+	submissions := make([]dispatcher.Submission, 0, callers)
+	for range callers {
+		submissions = append(submissions, <-c.arrived)
+	}
+	for i := range submissions {
+		s := submissions[callers-1-i]
+		answer, _ := echo(s)
+		is.True(c.waiters.Deliver(dispatcher.Reply{Ticket: s.Ticket, Known: true, Answer: answer}))
+		is.True(!c.waiters.Deliver(dispatcher.Reply{Ticket: s.Ticket, Known: true})) // Exactly one reply.
+	}
+	group.Wait()
+}
+
+func TestFullRingIsARefusalThatProvesNotRun(t *testing.T) {
+	is := is.New(t)
+	table, err := router.Compile(1, []router.Route{{Name: "all", PathPrefix: "/", Pool: "desk"}}, []router.Pool{{Name: "desk"}})
+	is.NoErr(err)
+	events := ring.New[dispatcher.Event](1)
+	is.True(events.Offer(dispatcher.Tick{}))
+	handler := receiver.New(receiver.Options{
+		Limits: smallLimits(), Events: events, Waiters: waiter.New(), Table: func() *router.Table { return table },
+	})
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/x", nil))
+	is.Equal(recorder.Code, http.StatusServiceUnavailable)
+	is.True(strings.Contains(recorder.Body.String(), `"not-run"`))
+	is.Equal(recorder.Header().Get("Retry-After"), "1")
+}
+
+func TestEntryWithoutConfigurationRefuses(t *testing.T) {
+	is := is.New(t)
+	handler := receiver.New(receiver.Options{
+		Limits: smallLimits(), Events: ring.New[dispatcher.Event](1), Waiters: waiter.New(), Table: func() *router.Table { return nil },
+	})
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/x", nil))
+	is.Equal(recorder.Code, http.StatusServiceUnavailable)
+	is.True(strings.Contains(recorder.Body.String(), `"not-run"`))
+}
