claimer: Prove lost replies, races, outages and deadlines

The state machine runs three cores against one table whose replies are lost, delayed, refused or late. It found that a claim refused at once left its replaced predecessor to send a second event; the replacement now comes first.

--- a/claimer/core.go
+++ b/claimer/core.go
@@ -175,6 +175,9 @@
 
 func (c *Core) add(p *pending, now time.Time) []dispatcher.Event {
 	job := p.claim.Job
+	if older, ok := c.held[job]; ok {
+		c.end(older)
+	}
 	value, err := EncodeRow(p.claim)
 	if err != nil {
 		return []dispatcher.Event{dispatcher.ClaimFailed{Job: job, Reason: "the claim can't be stored: " + err.Error()}}
@@ -182,9 +185,6 @@
 	if !now.Before(p.claim.Deadline) {
 		return []dispatcher.Event{dispatcher.ClaimFailed{Job: job, Reason: "the deadline passed before the claim was sent"}}
 	}
-	if older, ok := c.held[job]; ok {
-		c.end(older)
-	}
 	if len(c.held) >= c.limits.Waiting || c.bytes+len(value) > c.limits.WaitingBytes {
 		return []dispatcher.Event{dispatcher.ClaimFailed{Job: job, Reason: "too many claims wait for the store"}}
 	}
--- /dev/null
+++ b/claimer/core_test.go
@@ -0,0 +1,307 @@
+package claimer_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"agatevalve/claimer"
+	"agatevalve/common/fault"
+	"agatevalve/dispatcher"
+	"agatevalve/tabler"
+)
+
+const (
+	entries = 3
+	jobs    = 4
+)
+
+// call is a batch on its way to the table or back.
+type call struct {
+	entry int
+	batch *claimer.Batch
+	// applied has the result of a commit that took effect.
+	applied *tabler.Result
+	// heard means that the entry was given an answer. A commit that wasn't
+	// applied by then may still arrive.
+	heard bool
+}
+
+// world is several entries that share a table.
+type world struct {
+	*oracle
+	now   time.Time
+	cores []*claimer.Core
+	calls []*call
+	token uint64
+	// known has claims that entries have seen, to take over from.
+	known []dispatcher.Claim
+}
+
+func newWorld() *world {
+	w := &world{oracle: newOracle(), now: epoch}
+	for i := range entries {
+		random := rand.New(rand.NewPCG(1, uint64(i)))
+		w.cores = append(w.cores, claimer.NewCore(smallLimits(), random))
+	}
+	return w
+}
+
+func (w *world) deadline(t *rapid.T) time.Time {
+	within := rapid.IntRange(-1, 3000).Draw(t, "within")
+	return w.now.Add(time.Duration(within) * time.Millisecond)
+}
+
+func (w *world) insert(t *rapid.T) {
+	w.token++
+	entry := rapid.IntRange(0, entries-1).Draw(t, "entry")
+	job := rapid.IntRange(0, jobs-1).Draw(t, "job")
+	claim := claimOf(entry, job, w.token, w.deadline(t))
+	w.ask(claim)
+	w.give(entry, w.cores[entry].Insert(dispatcher.WriteClaim{Claim: claim}, w.now))
+}
+
+func (w *world) take(t *rapid.T) {
+	if len(w.known) == 0 {
+		t.Skip("no claim is known")
+	}
+	w.token++
+	entry := rapid.IntRange(0, entries-1).Draw(t, "entry")
+	old := rapid.SampledFrom(w.known).Draw(t, "old")
+	command := takeoverOf(old, entry, w.token, w.deadline(t))
+	w.ask(command.Claim)
+	w.give(entry, w.cores[entry].Take(command, w.now))
+}
+
+func (w *world) send(t *rapid.T) {
+	entry := rapid.IntRange(0, entries-1).Draw(t, "entry")
+	if batch := w.cores[entry].Next(w.now); batch != nil {
+		w.calls = append(w.calls, &call{entry: entry, batch: batch})
+	}
+}
+
+func (w *world) apply(t *rapid.T) {
+	c := w.pick(t)
+	if c.applied != nil || len(c.batch.Keys) > 0 {
+		t.Skip("nothing to apply")
+	}
+	result := w.commit(c.batch.Writes)
+	c.applied = &result
+}
+
+// answer completes a call, and first applies it if that hasn't happened.
+func (w *world) answer(t *rapid.T) {
+	c := w.pick(t)
+	if c.heard {
+		t.Skip("answered")
+	}
+	w.complete(c)
+}
+
+func (w *world) complete(c *call) {
+	c.heard = true
+	core := w.cores[c.entry]
+	if len(c.batch.Keys) > 0 {
+		w.give(c.entry, core.ReadDone(c.batch, w.read(c.batch.Keys), nil, w.now))
+		return
+	}
+	if c.applied == nil {
+		result := w.commit(c.batch.Writes)
+		c.applied = &result
+	}
+	w.give(c.entry, core.CommitDone(c.batch, *c.applied, nil, w.now))
+}
+
+// lose leaves the entry without an answer; the commit may arrive later.
+func (w *world) lose(t *rapid.T) {
+	c := w.pick(t)
+	if c.heard {
+		t.Skip("answered")
+	}
+	c.heard = true
+	err := fault.New(fault.Uncertain, "read", "the reply was lost")
+	w.fail(c, err)
+}
+
+// refuse proves to the entry that a commit had no effect.
+func (w *world) refuse(t *rapid.T) {
+	c := w.pick(t)
+	if c.heard || c.applied != nil {
+		t.Skip("answered or applied")
+	}
+	kind := rapid.SampledFrom([]fault.Kind{fault.Unavailable, fault.TooLarge}).Draw(t, "kind")
+	c.heard = true
+	c.applied = &tabler.Result{}
+	w.fail(c, fault.New(kind, "wait", "refused"))
+}
+
+func (w *world) fail(c *call, err error) {
+	core := w.cores[c.entry]
+	if len(c.batch.Keys) > 0 {
+		w.give(c.entry, core.ReadDone(c.batch, nil, err, w.now))
+		return
+	}
+	w.give(c.entry, core.CommitDone(c.batch, tabler.Result{}, err, w.now))
+}
+
+func (w *world) advance(t *rapid.T) {
+	w.now = w.now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond)
+}
+
+func (w *world) expire(t *rapid.T) {
+	entry := rapid.IntRange(0, entries-1).Draw(t, "entry")
+	w.give(entry, w.cores[entry].Expire(w.now))
+}
+
+func (w *world) pick(t *rapid.T) *call {
+	if len(w.calls) == 0 {
+		t.Skip("no calls")
+	}
+	return rapid.SampledFrom(w.calls).Draw(t, "call")
+}
+
+func (w *world) give(entry int, events []dispatcher.Event) {
+	owner := claimOf(entry, 0, 0, epoch).Owner
+	for _, e := range events {
+		w.see(owner, e, w.now)
+		switch e := e.(type) {
+		case dispatcher.ClaimWon:
+			w.known = append(w.known, e.Claim)
+		case dispatcher.ClaimHeld:
+			w.known = append(w.known, e.Claim)
+		}
+	}
+}
+
+// settle answers all calls until every claim has its event.
+func (w *world) settle() {
+	for range 10_000 {
+		for _, c := range w.calls {
+			if !c.heard {
+				w.complete(c)
+			}
+		}
+		for i, core := range w.cores {
+			w.give(i, core.Expire(w.now))
+			if batch := core.Next(w.now); batch != nil {
+				w.calls = append(w.calls, &call{entry: i, batch: batch})
+			}
+		}
+		if len(w.asked) == 0 {
+			return
+		}
+		w.now = w.now.Add(time.Millisecond)
+	}
+	w.violate("%d claims never ended", len(w.asked))
+}
+
+func (w *world) check(t *rapid.T) {
+	if len(w.violations) > 0 {
+		t.Fatal(w.violations)
+	}
+}
+
+func TestFuzzClaims(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		t.Repeat(map[string]func(*rapid.T){
+			"insert": w.insert, "take": w.take, "send": w.send, "send-again": w.send, "apply": w.apply,
+			"answer": w.answer, "lose": w.lose, "refuse": w.refuse, "advance": w.advance, "expire": w.expire,
+			"": w.check,
+		})
+		w.settle()
+		w.check(t)
+	})
+}
+
+func TestOracleCatchesABlindTable(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	w.blind = true
+	for entry := range 2 {
+		claim := claimOf(entry, 0, uint64(entry+1), epoch.Add(time.Second))
+		w.ask(claim)
+		w.give(entry, w.cores[entry].Insert(dispatcher.WriteClaim{Claim: claim}, w.now))
+	}
+	w.settle()
+	is.Equal(w.violations, []string{"tokens 1 and 2 won the same generation"})
+}
+
+func TestConflictFailsItsClaimAlone(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	deadline := epoch.Add(time.Second)
+	held := claimOf(1, 0, 1, deadline)
+	w.ask(held)
+	w.give(1, w.cores[1].Insert(dispatcher.WriteClaim{Claim: held}, w.now))
+	w.settle()
+
+	core := w.cores[0]
+	for job := range 3 {
+		core.Insert(dispatcher.WriteClaim{Claim: claimOf(0, job, uint64(10+job), deadline)}, w.now)
+	}
+	batch := core.Next(w.now)
+	is.Equal(len(batch.Writes), 4) // Three claims and their index row.
+	events := core.CommitDone(batch, w.commit(batch.Writes), nil, w.now)
+	is.Equal(events, []dispatcher.Event{dispatcher.ClaimHeld{Claim: held}})
+	batch = core.Next(w.now) // At once.
+	is.Equal(len(batch.Writes), 3)
+	events = core.CommitDone(batch, w.commit(batch.Writes), nil, w.now)
+	is.Equal(len(events), 2)
+}
+
+func TestFailureTellsWhatIsKnown(t *testing.T) {
+	tests := []struct {
+		name   string
+		kind   fault.Kind
+		reason string
+	}{
+		{"not sent", fault.Unavailable, "the deadline passed before the claim was stored"},
+		{"in doubt", fault.Uncertain, "the deadline passed before the claim was stored; it isn't known whether it was stored, and nothing was started under it"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			core := newWorld().cores[0]
+			claim := claimOf(0, 0, 1, epoch.Add(time.Second))
+			core.Insert(dispatcher.WriteClaim{Claim: claim}, epoch)
+			batch := core.Next(epoch)
+			core.CommitDone(batch, tabler.Result{}, fault.New(tt.kind, "wait", "no reply"), epoch)
+			is.Equal(core.Expire(epoch.Add(999*time.Millisecond)), nil)
+			is.Equal(core.Expire(claim.Deadline), []dispatcher.Event{dispatcher.ClaimFailed{Job: claim.Job, Reason: tt.reason}})
+		})
+	}
+}
+
+func TestOutageIsProbedByOneCallAtATime(t *testing.T) {
+	is := is.New(t)
+	core := newWorld().cores[0]
+	now := epoch
+	for job := range 6 {
+		core.Insert(dispatcher.WriteClaim{Claim: claimOf(0, job, uint64(job), epoch.Add(time.Hour))}, now)
+	}
+	full := core.Insert(dispatcher.WriteClaim{Claim: claimOf(0, 6, 6, epoch.Add(time.Hour))}, now)
+	is.Equal(full, []dispatcher.Event{dispatcher.ClaimFailed{Job: claimOf(0, 6, 6, epoch).Job, Reason: "too many claims wait for the store"}})
+	first, second := core.Next(now), core.Next(now)
+	down := fault.New(fault.Unavailable, "wait", "down")
+	core.CommitDone(first, tabler.Result{}, down, now)
+	core.CommitDone(second, tabler.Result{}, down, now)
+	calls := 0
+	for now = epoch; now.Before(epoch.Add(time.Minute)); now = now.Add(time.Millisecond) {
+		batch := core.Next(now)
+		if batch == nil {
+			continue
+		}
+		calls++
+		is.Equal(core.Next(now), nil)
+		core.CommitDone(batch, tabler.Result{}, down, now)
+	}
+	is.True(calls < 200) // The mean wait is half of MaxBackoff.
+	wake, ok := core.Wake()
+	is.True(ok)
+	is.True(!wake.After(now.Add(claimer.DefaultLimits().MaxBackoff)))
+	is.True(core.Next(wake) != nil)
+}
