commands: Edit, check, compare and explain the tables

Cause: operators work with tables and transactions. Change: the kong root with documented exit codes, and commands for routes, pools, whole configurations, audit, explain, status, drain, settings and version, as tables or JSON. Every publish waits until all live entries report the revision, or names those that don't and exits with 5. Ruled out: an apply without base, which would overwrite another operator's change unseen.

--- /dev/null
+++ b/commands/await.go
@@ -0,0 +1,95 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"agatevalve/common/fault"
+	"agatevalve/registrar"
+)
+
+const (
+	// awaitWithin bounds the wait for the entries to report a revision.
+	awaitWithin = 10 * time.Second
+	// awaitPause is the time between two looks at the entries.
+	awaitPause = 250 * time.Millisecond
+	// progressEvery is the time between two lines of progress.
+	progressEvery = 2 * time.Second
+)
+
+// standing is what the entries report about a revision.
+type standing struct {
+	// live is the number of live entries.
+	live int
+	// behind holds the live entries with an older revision.
+	behind []wireBehind
+}
+
+// awaitEverywhere waits until every live entry reports the revision or a later
+// one. Its error names those that don't.
+func (c *console) awaitEverywhere(ctx context.Context, s *store, revision uint64) (standing, error) {
+	ctx, cancel := context.WithTimeout(ctx, awaitWithin)
+	defer cancel()
+	next := time.Now().Add(progressEvery)
+	var now standing
+	for {
+		found, err := findStanding(ctx, s, revision)
+		if err == nil {
+			now = found
+		}
+		if err == nil && len(now.behind) == 0 {
+			return now, nil
+		}
+		if ctx.Err() != nil || wait(ctx, awaitPause) != nil {
+			return now, errNotEverywhere(now.behind, err, revision)
+		}
+		if time.Now().After(next) {
+			next = next.Add(progressEvery)
+			c.note("waiting for %s", describeBehind(now.behind, err))
+		}
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return ctx.Err()
+}
+
+func findStanding(ctx context.Context, s *store, revision uint64) (standing, error) {
+	members, err := registrar.List(ctx, s)
+	if err != nil {
+		return standing{}, err
+	}
+	live := registrar.Live(members, time.Now())
+	found := standing{live: len(live)}
+	for _, m := range live {
+		if m.Revision < revision {
+			found.behind = append(found.behind, wireBehind{m.Process.Name, m.Address.String(), m.Revision})
+		}
+	}
+	return found, nil
+}
+
+func describeBehind(behind []wireBehind, err error) string {
+	if len(behind) == 0 && err != nil {
+		return "entries that could not be listed: " + err.Error()
+	}
+	names := make([]string, 0, len(behind))
+	for _, b := range behind {
+		names = append(names, fmt.Sprintf("%s (%s, at revision %d)", b.Entry, b.Address, b.Revision))
+	}
+	return strings.Join(names, ", ")
+}
+
+func errNotEverywhere(behind []wireBehind, err error, revision uint64) error {
+	const remedy = "the revision stays published; see agatevalve status, and the logs of the entries named"
+	return fault.New(fault.Uncertain, remedy, "revision %d is published, and not known to be in force at %s",
+		revision, describeBehind(behind, err))
+}
--- /dev/null
+++ b/commands/commands.go
@@ -0,0 +1,68 @@
+// Package commands is the command line of agatevalve. Each command has a file
+// with its flags, their help and what it does.
+package commands
+
+import (
+	"io"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"github.com/alecthomas/kong"
+)
+
+const description = `Dispatch sub-second tasks, and edit what is dispatched where.
+
+Routes and pools are two tables, kept in the platform's table service. Every edit names the revision that it was made from and comes into force as a whole, or not at all.
+
+Exit codes: 0 done; 1 failed; 2 bad input; 3 conflict with another operator; 4 store or entries unreachable, and nothing was changed; 5 not known whether it was done, or done and not yet in force everywhere.`
+
+// root holds the commands and the flags that they share.
+type root struct {
+	Store   netip.AddrPort `help:"Address of the platform's table service (IP number and port)." placeholder:"IP:PORT" env:"AGATEVALVE_STORE"`
+	Format  string         `help:"Form of the output: table for people, json for programs." enum:"table,json" default:"table"`
+	Timeout time.Duration  `help:"How long to try, with its unit." default:"20s"`
+
+	Platform PlatformCommand `cmd:"" help:"Run a stand-in of the platform's table service, for trials."`
+
+	Routes   RoutesCommand   `cmd:"" help:"Show and edit the table of routes."`
+	Pools    PoolsCommand    `cmd:"" help:"Show and edit the table of pools."`
+	Config   ConfigCommand   `cmd:"" help:"Check, compare, apply and revert whole configurations."`
+	Audit    AuditCommand    `cmd:"" help:"Show who changed what, when and why."`
+	Explain  ExplainCommand  `cmd:"" help:"Tell which route, pool and minions serve a request, and why."`
+	Status   StatusCommand   `cmd:"" help:"Show the store, the entries and the agents."`
+	Drain    DrainCommand    `cmd:"" help:"Keep new tasks from a minion, or from all minions of a worker."`
+	Undrain  UndrainCommand  `cmd:"" help:"Let a drained minion or worker take tasks again."`
+	Settings SettingsCommand `cmd:"" help:"Check settings files."`
+	Version  VersionCommand  `cmd:"" help:"Show the version."`
+}
+
+// Execute runs one command line without the program's name and returns the
+// exit code.
+func Execute(args []string, stdout, stderr io.Writer) int {
+	slog.SetDefault(slog.New(slog.NewTextHandler(stderr, nil)))
+	exited := -1
+	var r root
+	app, err := kong.New(&r,
+		kong.Name("agatevalve"),
+		kong.Description(description),
+		kong.Writers(stdout, stderr),
+		kong.Exit(func(code int) { exited = code }),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+	)
+	if err != nil {
+		panic("commands: the command line is malformed: " + err.Error())
+	}
+	chosen, err := app.Parse(args)
+	if exited >= 0 {
+		return exited
+	}
+	c := newConsole(r, stdout, stderr)
+	if err != nil {
+		return c.fail(errUsage(err))
+	}
+	if err := chosen.Run(c); err != nil {
+		return c.fail(err)
+	}
+	return codeDone
+}
--- /dev/null
+++ b/commands/config.go
@@ -0,0 +1,174 @@
+package commands
+
+import (
+	"context"
+	"os"
+	"strconv"
+
+	"agatevalve/common/fault"
+	"agatevalve/historian"
+)
+
+// largestConfiguration caps a configuration file, in bytes.
+const largestConfiguration = 32 << 20
+
+// ConfigCommand groups the commands for whole configurations.
+type ConfigCommand struct {
+	Check   ConfigCheckCommand   `cmd:"" help:"Check a configuration file without the store."`
+	Diff    ConfigDiffCommand    `cmd:"" help:"Show the rows that differ between two configurations."`
+	Apply   ConfigApplyCommand   `cmd:"" help:"Replace the configuration by that of a file, and wait until it is in force at every live entry."`
+	History ConfigHistoryCommand `cmd:"" help:"List the newest revisions."`
+	Show    ConfigShowCommand    `cmd:"" help:"Show a whole configuration in the form of a file."`
+	Revert  ConfigRevertCommand  `cmd:"" help:"Publish the content of an older revision as a new one."`
+}
+
+// readConfiguration reads a configuration file.
+func readConfiguration(path string) (historian.Configuration, error) {
+	const remedy = "name a configuration file that can be read"
+	info, err := os.Stat(path)
+	if err != nil {
+		return historian.Configuration{}, fault.Wrap(err, fault.NotFound, remedy, "configuration file %s", path)
+	}
+	if info.Size() > largestConfiguration {
+		return historian.Configuration{}, fault.New(fault.TooLarge, remedy, "%s has %d bytes, more than %d", path, info.Size(), largestConfiguration)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return historian.Configuration{}, fault.Wrap(err, fault.NotFound, remedy, "configuration file %s", path)
+	}
+	return historian.DecodeConfiguration(path, data)
+}
+
+// ConfigCheckCommand checks a file.
+type ConfigCheckCommand struct {
+	File string `arg:"" help:"Configuration file (JSON) with routes and pools."`
+}
+
+type wireCheck struct {
+	Routes   int           `json:"routes"`
+	Pools    int           `json:"pools"`
+	Warnings []wireFinding `json:"warnings"`
+}
+
+// Run checks the file as a publish would.
+func (k *ConfigCheckCommand) Run(c *console) error {
+	configuration, err := readConfiguration(k.File)
+	if err != nil {
+		return err
+	}
+	table, err := configuration.Compile()
+	if err != nil {
+		return err
+	}
+	routes, pools := len(configuration.Routes), len(configuration.Pools)
+	if c.json() {
+		return c.encode(wireCheck{routes, pools, encodeFindings(table.Warnings())})
+	}
+	for _, w := range table.Warnings() {
+		c.note("warning: %s", w)
+	}
+	return c.print("%s is valid: %d routes, %d pools\n", k.File, routes, pools)
+}
+
+// ConfigDiffCommand compares two configurations.
+type ConfigDiffCommand struct {
+	From string `arg:"" help:"A revision number, head, or a file."`
+	To   string `arg:"" help:"A revision number, head, or a file."`
+}
+
+// Run shows the changes that lead from one to the other.
+func (d *ConfigDiffCommand) Run(c *console) error {
+	return c.withStore(func(ctx context.Context, s *store) error {
+		from, err := s.named(ctx, d.From)
+		if err != nil {
+			return err
+		}
+		to, err := s.named(ctx, d.To)
+		if err != nil {
+			return err
+		}
+		changes := historian.Diff(from, to)
+		if c.json() {
+			return c.print("%s\n", historian.FormatChanges(changes))
+		}
+		return c.printChanges(changes)
+	})
+}
+
+// named returns the configuration at a revision, at the head, or in a file.
+func (s *store) named(ctx context.Context, name string) (historian.Configuration, error) {
+	if name == "head" {
+		return s.revision(ctx, nil)
+	}
+	if number, err := strconv.ParseUint(name, 10, 64); err == nil {
+		return s.historian.At(ctx, number)
+	}
+	return readConfiguration(name)
+}
+
+// ConfigApplyCommand publishes a file.
+type ConfigApplyCommand struct {
+	edit
+	File string `arg:"" help:"Configuration file (JSON). It names its base in the field revision, as config show writes it, unless --base is given."`
+}
+
+// Run replaces the whole configuration.
+func (a *ConfigApplyCommand) Run(c *console) error {
+	wanted, err := readConfiguration(a.File)
+	if err != nil {
+		return err
+	}
+	base := wanted.Revision
+	assign(&base, a.Base)
+	if a.Base == nil && base == 0 {
+		return fault.New(fault.Invalid, "give --base with the revision that the file was made from; 0 for the first one",
+			"%s names no base revision", a.File)
+	}
+	if _, err := wanted.Compile(); err != nil {
+		return err
+	}
+	return c.withStore(func(ctx context.Context, s *store) error {
+		current, err := s.historian.At(ctx, base)
+		if err != nil {
+			return err
+		}
+		return a.publish(ctx, c, s, base, historian.Diff(current, wanted))
+	})
+}
+
+// ConfigShowCommand shows a configuration.
+type ConfigShowCommand struct {
+	Revision *uint64 `arg:"" optional:"" help:"Revision; the one in force if not given."`
+}
+
+// Run writes the configuration as a file that apply reads.
+func (h *ConfigShowCommand) Run(c *console) error {
+	return c.withStore(func(ctx context.Context, s *store) error {
+		configuration, err := s.revision(ctx, h.Revision)
+		if err != nil {
+			return err
+		}
+		return c.print("%s", historian.FormatConfiguration(configuration))
+	})
+}
+
+// ConfigRevertCommand brings an older configuration back.
+type ConfigRevertCommand struct {
+	edit
+	Revision uint64 `arg:"" help:"The revision whose content comes back."`
+}
+
+// Run publishes the old content as a new revision.
+func (r *ConfigRevertCommand) Run(c *console) error {
+	return c.withStore(func(ctx context.Context, s *store) error {
+		base, err := r.base(ctx, s)
+		if err != nil {
+			return err
+		}
+		receipt, err := s.publisher.Revert(ctx, r.author.author(), base, r.Revision)
+		if err != nil {
+			return err
+		}
+		return r.report(ctx, c, s, receipt)
+	})
+}
--- /dev/null
+++ b/commands/explain.go
@@ -0,0 +1,189 @@
+package commands
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"agatevalve/common/fault"
+	"agatevalve/historian"
+	"agatevalve/router"
+)
+
+// ExplainCommand tells how a request would be served.
+type ExplainCommand struct {
+	Method string  `arg:"" help:"HTTP method of the request."`
+	Path   string  `arg:"" help:"Path of the request, decoded, without query."`
+	Host   string  `help:"Host of the request, without port."`
+	At     *uint64 `help:"Explain by an older revision." placeholder:"REVISION"`
+	File   string  `help:"Explain by a configuration file, without the store and minions." placeholder:"FILE"`
+}
+
+type wireExplanation struct {
+	Revision uint64          `json:"revision"`
+	Found    bool            `json:"found"`
+	Route    json.RawMessage `json:"route,omitempty"`
+	Pool     json.RawMessage `json:"pool,omitempty"`
+	Weighed  []wireWeighed   `json:"weighed"`
+	// Asked is false when the entries were not asked for minions.
+	Asked   bool          `json:"asked"`
+	Minions []wireMinion  `json:"minions"`
+	Silent  []wireSilence `json:"silent"`
+}
+
+type wireWeighed struct {
+	Route   string `json:"route"`
+	Verdict string `json:"verdict"`
+	Why     string `json:"why"`
+}
+
+type wireMinion struct {
+	wireAgent
+	Eligible bool   `json:"eligible"`
+	Why      string `json:"why"`
+}
+
+type wireSilence struct {
+	Entry string `json:"entry"`
+	Error string `json:"error"`
+}
+
+// Run explains the request.
+func (e *ExplainCommand) Run(c *console) error {
+	if e.File != "" {
+		configuration, err := readConfiguration(e.File)
+		if err != nil {
+			return err
+		}
+		return e.explain(c, configuration, nil)
+	}
+	return c.withStore(func(ctx context.Context, s *store) error {
+		configuration, err := s.revision(ctx, e.At)
+		if err != nil {
+			return err
+		}
+		f := newFleet()
+		defer f.close()
+		views, err := f.entries(ctx, s)
+		if err != nil {
+			return err
+		}
+		return e.explain(c, configuration, &views)
+	})
+}
+
+// explain prints the explanation; views is nil when the entries were not asked.
+func (e *ExplainCommand) explain(c *console, configuration historian.Configuration, views *[]entryView) error {
+	table, err := configuration.Compile()
+	if err != nil {
+		return err
+	}
+	explanation, err := table.Explain(router.Match{Host: e.Host, Path: e.Path, Method: e.Method})
+	if err != nil {
+		return err
+	}
+	wire := encodeExplanation(configuration.Revision, explanation)
+	if views != nil {
+		wire.Asked = true
+		wire.addMinions(explanation, *views)
+	}
+	if err := c.printExplanation(wire, explanation); err != nil {
+		return err
+	}
+	if !explanation.Found {
+		return fault.New(fault.NotFound, "add a route, or change one of those weighed", "no route matches %s %s%s", e.Method, e.Host, e.Path)
+	}
+	return nil
+}
+
+func encodeExplanation(revision uint64, e router.Explanation) wireExplanation {
+	wire := wireExplanation{
+		Revision: revision, Found: e.Found,
+		Weighed: []wireWeighed{}, Minions: []wireMinion{}, Silent: []wireSilence{},
+	}
+	for _, w := range e.Weighed {
+		wire.Weighed = append(wire.Weighed, wireWeighed{w.Route.Name, string(w.Verdict), w.Why})
+	}
+	if e.Found {
+		wire.Route = historian.FormatRoute(e.Plan.Route)
+		wire.Pool = historian.FormatPool(e.Plan.Pool)
+	}
+	return wire
+}
+
+func (w *wireExplanation) addMinions(e router.Explanation, views []entryView) {
+	for _, v := range views {
+		if v.status == nil {
+			w.Silent = append(w.Silent, wireSilence{v.member.Process.Name, v.err.Error()})
+		}
+	}
+	if !e.Found {
+		return
+	}
+	for _, view := range agents(views) {
+		if slices.Contains(view.agent.GetPools(), e.Plan.Pool.Name) {
+			w.Minions = append(w.Minions, weighMinion(encodeAgent(view)))
+		}
+	}
+}
+
+// weighMinion says whether a minion may get a task of its pool.
+func weighMinion(a wireAgent) wireMinion {
+	m := wireMinion{wireAgent: a}
+	switch {
+	case a.Leaving:
+		m.Why = "is leaving"
+	case len(a.EjectedBy) > 0:
+		m.Why = fmt.Sprintf("is ejected by %d entries", len(a.EjectedBy))
+	case a.Running >= a.Slots:
+		m.Eligible, m.Why = true, "has no free slot now"
+	default:
+		m.Eligible, m.Why = true, fmt.Sprintf("has %d free slots", a.Slots-a.Running)
+	}
+	return m
+}
+
+func (c *console) printExplanation(wire wireExplanation, e router.Explanation) error {
+	if c.json() {
+		return c.encode(wire)
+	}
+	if err := c.print("revision %d\n", wire.Revision); err != nil {
+		return err
+	}
+	if e.Found {
+		if err := c.print("route %s\npool %s\n", wire.Route, wire.Pool); err != nil {
+			return err
+		}
+	}
+	rows := [][]string{{"WEIGHED", "VERDICT", "WHY"}}
+	for _, w := range wire.Weighed {
+		rows = append(rows, []string{w.Route, w.Verdict, w.Why})
+	}
+	if err := c.table(rows); err != nil {
+		return err
+	}
+	return c.printMinions(wire)
+}
+
+func (c *console) printMinions(wire wireExplanation) error {
+	if !wire.Asked {
+		return nil
+	}
+	for _, s := range wire.Silent {
+		c.note("warning: entry %s did not answer: %s", s.Entry, s.Error)
+	}
+	if !wire.Found {
+		return nil
+	}
+	if len(wire.Minions) == 0 {
+		return c.print("no minion of the pool is known to an entry\n")
+	}
+	rows := [][]string{{"MINION", "WORKER", "ZONE", "RUNNING/SLOTS", "MEAN", "WHY"}}
+	for _, m := range wire.Minions {
+		rows = append(rows, []string{
+			m.Name, m.Worker, m.Zone, fmt.Sprintf("%d/%d", m.Running, m.Slots), fmt.Sprintf("%.3fs", m.MeanSeconds), m.Why,
+		})
+	}
+	return c.table(rows)
+}
--- /dev/null
+++ b/commands/pools.go
@@ -0,0 +1,170 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"agatevalve/common/fault"
+	"agatevalve/common/task"
+	"agatevalve/historian"
+	"agatevalve/router"
+)
+
+// PoolsCommand groups the commands for the table of pools.
+type PoolsCommand struct {
+	Show   PoolsShowCommand   `cmd:"" help:"Show all pools, or one."`
+	Set    PoolsSetCommand    `cmd:"" help:"Insert or update a pool. What no flag names stays as it is."`
+	Delete PoolsDeleteCommand `cmd:"" help:"Delete a pool."`
+}
+
+// PoolsShowCommand shows pools.
+type PoolsShowCommand struct {
+	Name string  `arg:"" optional:"" help:"Name of the pool."`
+	At   *uint64 `help:"Show an older revision." placeholder:"REVISION"`
+}
+
+// Run shows the pools.
+func (p *PoolsShowCommand) Run(c *console) error {
+	return c.withStore(func(ctx context.Context, s *store) error {
+		configuration, err := s.revision(ctx, p.At)
+		if err != nil {
+			return err
+		}
+		pools := configuration.Pools
+		if p.Name != "" {
+			pool, ok := configuration.Pool(p.Name)
+			if !ok {
+				return errNoRow("pools", p.Name, configuration.Revision)
+			}
+			pools = []router.Pool{pool}
+		}
+		if !c.json() {
+			return c.table(poolTable(pools))
+		}
+		return c.encodeRows(configuration.Revision, formatAll(pools, historian.FormatPool))
+	})
+}
+
+func poolTable(pools []router.Pool) [][]string {
+	table := [][]string{{"NAME", "SLOTS-PER-MINION", "QUEUE-LIMIT", "QUOTAS"}}
+	for _, p := range pools {
+		table = append(table, []string{
+			p.Name, orWord(p.SlotsPerMinion, "declared"), orWord(p.QueueLimit, "default"), describeQuotas(p.Quotas),
+		})
+	}
+	return table
+}
+
+// orWord returns a number, or the word that stands for 0.
+func orWord(number int, word string) string {
+	if number == 0 {
+		return word
+	}
+	return strconv.Itoa(number)
+}
+
+func describeQuotas(quotas []router.Quota) string {
+	if len(quotas) == 0 {
+		return "none"
+	}
+	parts := make([]string, 0, len(quotas))
+	for _, q := range quotas {
+		part := fmt.Sprintf("%s=%d", q.Team, q.Weight)
+		if q.MaxRunning > 0 {
+			part += ":" + strconv.Itoa(q.MaxRunning)
+		}
+		parts = append(parts, part)
+	}
+	return strings.Join(parts, " ")
+}
+
+// PoolsSetCommand inserts or updates a pool.
+type PoolsSetCommand struct {
+	edit
+	Name           string   `arg:"" help:"Name of the pool."`
+	SlotsPerMinion *int     `help:"Most tasks at one minion; 0 trusts what the minion declares." placeholder:"SLOTS"`
+	QueueLimit     *int     `help:"Most tasks that wait at one entry; 0 takes the entry's setting." placeholder:"TASKS"`
+	Quota          []string `help:"Quota of a team, as TEAM=WEIGHT or TEAM=WEIGHT:MAX-RUNNING. All given replace all of the pool." placeholder:"QUOTA"`
+	NoQuotas       bool     `help:"Remove all quotas of the pool."`
+}
+
+// Run publishes the pool.
+func (p *PoolsSetCommand) Run(c *console) error {
+	quotas, err := p.quotas()
+	if err != nil {
+		return err
+	}
+	return c.withStore(func(ctx context.Context, s *store) error {
+		base, err := p.base(ctx, s)
+		if err != nil {
+			return err
+		}
+		configuration, err := s.historian.At(ctx, base)
+		if err != nil {
+			return err
+		}
+		pool, _ := configuration.Pool(p.Name)
+		pool.Name = p.Name
+		assign(&pool.SlotsPerMinion, p.SlotsPerMinion)
+		assign(&pool.QueueLimit, p.QueueLimit)
+		if len(quotas) > 0 || p.NoQuotas {
+			pool.Quotas = quotas
+		}
+		return p.publish(ctx, c, s, base, historian.Changes{Pools: setRow(p.Name, pool)})
+	})
+}
+
+func (p *PoolsSetCommand) quotas() ([]router.Quota, error) {
+	if p.NoQuotas && len(p.Quota) > 0 {
+		return nil, fault.New(fault.Invalid, "give one of the two", "both --quota and --no-quotas")
+	}
+	var quotas []router.Quota
+	for _, text := range p.Quota {
+		q, err := parseQuota(text)
+		if err != nil {
+			return nil, err
+		}
+		quotas = append(quotas, q)
+	}
+	return quotas, nil
+}
+
+func parseQuota(text string) (router.Quota, error) {
+	const remedy = "write TEAM=WEIGHT or TEAM=WEIGHT:MAX-RUNNING, such as cartago-desk=2:40"
+	team, rest, ok := strings.Cut(text, "=")
+	if !ok {
+		return router.Quota{}, fault.New(fault.Invalid, remedy, "bad quota %q", text)
+	}
+	weight, most, capped := strings.Cut(rest, ":")
+	q := router.Quota{Team: task.Team(team)}
+	var err error
+	if q.Weight, err = strconv.Atoi(weight); err != nil {
+		return router.Quota{}, fault.New(fault.Invalid, remedy, "bad weight in quota %q", text)
+	}
+	if !capped {
+		return q, nil
+	}
+	if q.MaxRunning, err = strconv.Atoi(most); err != nil {
+		return router.Quota{}, fault.New(fault.Invalid, remedy, "bad limit in quota %q", text)
+	}
+	return q, nil
+}
+
+// PoolsDeleteCommand deletes a pool.
+type PoolsDeleteCommand struct {
+	edit
+	Name string `arg:"" help:"Name of the pool."`
+}
+
+// Run publishes the configuration without the pool.
+func (p *PoolsDeleteCommand) Run(c *console) error {
+	return c.withStore(func(ctx context.Context, s *store) error {
+		base, err := p.base(ctx, s)
+		if err != nil {
+			return err
+		}
+		return p.publish(ctx, c, s, base, historian.Changes{Pools: deleteRow[router.Pool](p.Name)})
+	})
+}
--- /dev/null
+++ b/commands/publish.go
@@ -0,0 +1,164 @@
+package commands
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"agatevalve/common/fault"
+	"agatevalve/historian"
+	"agatevalve/publisher"
+	"agatevalve/router"
+)
+
+// author holds the flags of everything that the audit trail keeps.
+type author struct {
+	Who string `help:"Who makes the change; kept in the audit trail." env:"AGATEVALVE_WHO,USER" placeholder:"NAME"`
+	Why string `help:"Why; kept in the audit trail." placeholder:"TEXT"`
+}
+
+func (a author) author() publisher.Author { return publisher.Author{Who: a.Who, Why: a.Why} }
+
+// edit holds the flags of commands that publish.
+type edit struct {
+	author
+	Base   *uint64 `help:"The revision that the edit was made from; the one in force if not given." placeholder:"REVISION"`
+	NoWait bool    `help:"Don't wait until every live entry reports the revision."`
+}
+
+// base returns the flag's revision, or that of the head.
+func (e edit) base(ctx context.Context, s *store) (uint64, error) {
+	if e.Base != nil {
+		return *e.Base, nil
+	}
+	head, err := s.historian.Head(ctx)
+	return head.Revision, err
+}
+
+// publish publishes changes, reports them and waits until they are in force.
+func (e edit) publish(ctx context.Context, c *console, s *store, base uint64, changes historian.Changes) error {
+	receipt, err := s.publisher.Publish(ctx, publisher.Edit{Author: e.author.author(), Base: base, Changes: changes})
+	if err != nil {
+		return err
+	}
+	return e.report(ctx, c, s, receipt)
+}
+
+type wireReceipt struct {
+	Revision uint64          `json:"revision"`
+	Changes  json.RawMessage `json:"changes"`
+	Warnings []wireFinding   `json:"warnings"`
+	// Waited is false when the command did not wait.
+	Waited bool `json:"waited"`
+	// Live is the number of live entries.
+	Live   int          `json:"live"`
+	Behind []wireBehind `json:"behind"`
+}
+
+type wireBehind struct {
+	Entry    string `json:"entry"`
+	Address  string `json:"address"`
+	Revision uint64 `json:"revision"`
+}
+
+func (e edit) report(ctx context.Context, c *console, s *store, receipt publisher.Receipt) error {
+	if !c.json() {
+		if err := c.printReceipt(receipt); err != nil {
+			return err
+		}
+	}
+	var now standing
+	var waitErr error
+	if !e.NoWait {
+		now, waitErr = c.awaitEverywhere(ctx, s, receipt.Revision)
+	}
+	if err := e.reportStanding(c, receipt, now, waitErr == nil); err != nil {
+		return err
+	}
+	return waitErr
+}
+
+func (e edit) reportStanding(c *console, receipt publisher.Receipt, now standing, everywhere bool) error {
+	if c.json() {
+		return c.encode(wireReceipt{
+			Revision: receipt.Revision, Changes: historian.FormatChanges(receipt.Changes),
+			Warnings: encodeFindings(receipt.Warnings), Waited: !e.NoWait, Live: now.live,
+			Behind: append([]wireBehind{}, now.behind...),
+		})
+	}
+	if e.NoWait || !everywhere {
+		return nil
+	}
+	if now.live == 0 {
+		return c.print("no entry is live; entries take revision %d when they start\n", receipt.Revision)
+	}
+	return c.print("revision %d is in force at all %d live entries\n", receipt.Revision, now.live)
+}
+
+func (c *console) printReceipt(receipt publisher.Receipt) error {
+	for _, w := range receipt.Warnings {
+		c.note("warning: %s", w)
+	}
+	if receipt.Changes.Len() == 0 {
+		return c.print("nothing to change in revision %d\n", receipt.Revision)
+	}
+	if err := c.printChanges(receipt.Changes); err != nil {
+		return err
+	}
+	return c.print("revision %d is published\n", receipt.Revision)
+}
+
+// printChanges writes one line per deleted, inserted or changed row.
+func (c *console) printChanges(changes historian.Changes) error {
+	if err := printRowChanges(c, "route", changes.Routes, historian.FormatRoute); err != nil {
+		return err
+	}
+	return printRowChanges(c, "pool", changes.Pools, historian.FormatPool)
+}
+
+func printRowChanges[T any](c *console, table string, changes []historian.Change[T], format func(T) []byte) error {
+	for _, change := range changes {
+		if change.Before != nil {
+			if err := c.print("- %s %s\n", table, format(*change.Before)); err != nil {
+				return err
+			}
+		}
+		if change.After != nil {
+			if err := c.print("+ %s %s\n", table, format(*change.After)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+type wireFinding struct {
+	Cause   string `json:"cause"`
+	Table   string `json:"table"`
+	Row     string `json:"row"`
+	Text    string `json:"text"`
+	Remedy  string `json:"remedy"`
+	Warning bool   `json:"warning"`
+}
+
+func encodeFindings(findings []router.Finding) []wireFinding {
+	wires := make([]wireFinding, 0, len(findings))
+	for _, f := range findings {
+		wires = append(wires, wireFinding{string(f.Cause), f.Table, f.Row, f.Text, f.Remedy, f.Warning})
+	}
+	return wires
+}
+
+// setRow returns a change that inserts or updates one row.
+func setRow[T any](name string, row T) []historian.Change[T] {
+	return []historian.Change[T]{{Name: name, After: &row}}
+}
+
+// deleteRow returns a change that deletes one row.
+func deleteRow[T any](name string) []historian.Change[T] {
+	return []historian.Change[T]{{Name: name}}
+}
+
+func errNoRow(table, name string, revision uint64) error {
+	return fault.New(fault.NotFound, fmt.Sprintf("see agatevalve %s show", table), "no row %q in %s at revision %d", name, table, revision)
+}
--- /dev/null
+++ b/commands/routes.go
@@ -0,0 +1,159 @@
+package commands
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"agatevalve/historian"
+	"agatevalve/router"
+)
+
+// RoutesCommand groups the commands for the table of routes.
+type RoutesCommand struct {
+	Show   RoutesShowCommand   `cmd:"" help:"Show all routes, or one."`
+	Set    RoutesSetCommand    `cmd:"" help:"Insert or update a route. What no flag names stays as it is."`
+	Delete RoutesDeleteCommand `cmd:"" help:"Delete a route."`
+}
+
+// RoutesShowCommand shows routes.
+type RoutesShowCommand struct {
+	Name string  `arg:"" optional:"" help:"Name of the route."`
+	At   *uint64 `help:"Show an older revision." placeholder:"REVISION"`
+}
+
+type wireRows struct {
+	Revision uint64            `json:"revision"`
+	Rows     []json.RawMessage `json:"rows"`
+}
+
+// Run shows the routes.
+func (r *RoutesShowCommand) Run(c *console) error {
+	return c.withStore(func(ctx context.Context, s *store) error {
+		configuration, err := s.revision(ctx, r.At)
+		if err != nil {
+			return err
+		}
+		routes := configuration.Routes
+		if r.Name != "" {
+			route, ok := configuration.Route(r.Name)
+			if !ok {
+				return errNoRow("routes", r.Name, configuration.Revision)
+			}
+			routes = []router.Route{route}
+		}
+		if !c.json() {
+			return c.table(routeTable(routes))
+		}
+		return c.encodeRows(configuration.Revision, formatAll(routes, historian.FormatRoute))
+	})
+}
+
+// revision returns the configuration at a revision, or in force if at is nil.
+func (s *store) revision(ctx context.Context, at *uint64) (historian.Configuration, error) {
+	if at != nil {
+		return s.historian.At(ctx, *at)
+	}
+	_, configuration, err := s.historian.Current(ctx)
+	return configuration, err
+}
+
+func (c *console) encodeRows(revision uint64, rows []json.RawMessage) error {
+	return c.encode(wireRows{Revision: revision, Rows: rows})
+}
+
+func formatAll[T any](items []T, format func(T) []byte) []json.RawMessage {
+	rows := make([]json.RawMessage, 0, len(items))
+	for _, item := range items {
+		rows = append(rows, format(item))
+	}
+	return rows
+}
+
+func routeTable(routes []router.Route) [][]string {
+	table := [][]string{{"NAME", "HOST", "PATH-PREFIX", "METHOD", "POOL", "IDEMPOTENT", "WASTE-WEIGHT", "ANSWER-WITHIN"}}
+	for _, r := range routes {
+		within := "default"
+		if r.AnswerWithin > 0 {
+			within = r.AnswerWithin.String()
+		}
+		table = append(table, []string{
+			r.Name, orAny(r.Host), r.PathPrefix, orAny(r.Method), r.Pool,
+			strconv.FormatBool(r.Idempotent), strconv.Itoa(r.WasteWeight), within,
+		})
+	}
+	return table
+}
+
+func orAny(text string) string {
+	if text == "" {
+		return "any"
+	}
+	return text
+}
+
+// RoutesSetCommand inserts or updates a route.
+type RoutesSetCommand struct {
+	edit
+	Name         string         `arg:"" help:"Name of the route."`
+	Host         *string        `help:"Host that the route matches, in lower case without port; empty for any." placeholder:"HOST"`
+	PathPrefix   *string        `help:"Path prefix in whole segments, such as /quotes." placeholder:"PATH"`
+	Method       *string        `help:"HTTP method that the route matches; empty for any." placeholder:"METHOD"`
+	Pool         *string        `help:"Pool that serves the route." placeholder:"POOL"`
+	Idempotent   *bool          `help:"Whether a task may start again after a failure." negatable:""`
+	WasteWeight  *int           `help:"What a wasted message weighs against response time, from 0 to 100." placeholder:"WEIGHT"`
+	AnswerWithin *time.Duration `help:"Deadline of requests that name none, with its unit; 0s for the entry's." placeholder:"DURATION"`
+}
+
+// Run publishes the route.
+func (r *RoutesSetCommand) Run(c *console) error {
+	return c.withStore(func(ctx context.Context, s *store) error {
+		base, err := r.base(ctx, s)
+		if err != nil {
+			return err
+		}
+		configuration, err := s.historian.At(ctx, base)
+		if err != nil {
+			return err
+		}
+		route, _ := configuration.Route(r.Name)
+		r.update(&route)
+		return r.publish(ctx, c, s, base, historian.Changes{Routes: setRow(r.Name, route)})
+	})
+}
+
+func (r *RoutesSetCommand) update(route *router.Route) {
+	route.Name = r.Name
+	assign(&route.Host, r.Host)
+	assign(&route.PathPrefix, r.PathPrefix)
+	assign(&route.Method, r.Method)
+	assign(&route.Pool, r.Pool)
+	assign(&route.Idempotent, r.Idempotent)
+	assign(&route.WasteWeight, r.WasteWeight)
+	assign(&route.AnswerWithin, r.AnswerWithin)
+}
+
+// assign sets a field to the value of a flag that was given.
+func assign[T any](field, flag *T) {
+	if flag != nil {
+		*field = *flag
+	}
+}
+
+// RoutesDeleteCommand deletes a route.
+type RoutesDeleteCommand struct {
+	edit
+	Name string `arg:"" help:"Name of the route."`
+}
+
+// Run publishes the configuration without the route.
+func (r *RoutesDeleteCommand) Run(c *console) error {
+	return c.withStore(func(ctx context.Context, s *store) error {
+		base, err := r.base(ctx, s)
+		if err != nil {
+			return err
+		}
+		return r.publish(ctx, c, s, base, historian.Changes{Routes: deleteRow[router.Route](r.Name)})
+	})
+}
--- /dev/null
+++ b/commands/status.go
@@ -0,0 +1,185 @@
+package commands
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"agatevalve/historian"
+)
+
+// StatusCommand shows what runs.
+type StatusCommand struct{}
+
+type wireStatus struct {
+	Store   wireStore   `json:"store"`
+	Entries []wireEntry `json:"entries"`
+	Agents  []wireAgent `json:"agents"`
+}
+
+type wireStore struct {
+	Address  string `json:"address"`
+	Revision uint64 `json:"revision"`
+}
+
+type wireEntry struct {
+	Name     string `json:"name"`
+	Zone     string `json:"zone"`
+	Address  string `json:"address"`
+	Revision uint64 `json:"revision"`
+	// Error says why the entry did not answer; the fields below are then unset.
+	Error          string `json:"error,omitempty"`
+	Ready          bool   `json:"ready"`
+	StoreReachable bool   `json:"store-reachable"`
+	Queued         int32  `json:"queued"`
+	Running        int32  `json:"running"`
+}
+
+type wireAgent struct {
+	Name     string   `json:"name"`
+	Zone     string   `json:"zone"`
+	Worker   string   `json:"worker"`
+	Rack     string   `json:"rack"`
+	Address  string   `json:"address"`
+	Pools    []string `json:"pools"`
+	Slots    int32    `json:"slots"`
+	Running  int32    `json:"running"`
+	Queued   int32    `json:"queued"`
+	Leaving  bool     `json:"leaving"`
+	Revision uint64   `json:"revision"`
+	// Outstanding sums the tasks sent by all entries that answered.
+	Outstanding int32    `json:"outstanding"`
+	EjectedBy   []string `json:"ejected-by"`
+	MeanSeconds float64  `json:"mean-seconds"`
+}
+
+// Run asks the store and every live entry.
+func (*StatusCommand) Run(c *console) error {
+	return c.withStore(func(ctx context.Context, s *store) error {
+		head, err := s.historian.Head(ctx)
+		if err != nil {
+			return err
+		}
+		f := newFleet()
+		defer f.close()
+		views, err := f.entries(ctx, s)
+		if err != nil {
+			return err
+		}
+		status := encodeStatus(c.root.Store.String(), head, views)
+		if c.json() {
+			return c.encode(status)
+		}
+		return c.printStatus(status)
+	})
+}
+
+func encodeStatus(store string, head historian.Head, views []entryView) wireStatus {
+	status := wireStatus{
+		Store:   wireStore{store, head.Revision},
+		Entries: make([]wireEntry, 0, len(views)),
+		Agents:  []wireAgent{},
+	}
+	for _, v := range views {
+		status.Entries = append(status.Entries, encodeEntry(v))
+	}
+	for _, a := range agents(views) {
+		status.Agents = append(status.Agents, encodeAgent(a))
+	}
+	slices.SortFunc(status.Entries, func(a, b wireEntry) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(status.Agents, func(a, b wireAgent) int { return cmp.Compare(a.Name, b.Name) })
+	return status
+}
+
+func encodeEntry(v entryView) wireEntry {
+	e := wireEntry{
+		Name: v.member.Process.Name, Zone: v.member.Zone,
+		Address: v.member.Address.String(), Revision: v.member.Revision,
+	}
+	if v.status == nil {
+		e.Error = v.err.Error()
+		return e
+	}
+	e.Revision = v.status.GetRevision()
+	e.Ready = v.status.GetReady()
+	e.StoreReachable = v.status.GetStoreReachable()
+	e.Queued, e.Running = v.status.GetQueued(), v.status.GetRunning()
+	return e
+}
+
+func encodeAgent(v *agentView) wireAgent {
+	a, load := v.agent, v.agent.GetLoad()
+	return wireAgent{
+		Name: a.GetAgent().GetName(), Zone: a.GetZone(), Worker: a.GetWorker(), Rack: a.GetRack(),
+		Address: a.GetAddress(), Pools: append([]string{}, a.GetPools()...),
+		Slots: load.GetSlots(), Running: load.GetRunning(), Queued: load.GetQueued(),
+		Leaving: load.GetLeaving(), Revision: load.GetRevision(), Outstanding: v.outstanding,
+		EjectedBy: append([]string{}, v.ejectedBy...), MeanSeconds: a.GetMeanSeconds(),
+	}
+}
+
+func (c *console) printStatus(status wireStatus) error {
+	if err := c.print("store %s: revision %d in force\n\n", status.Store.Address, status.Store.Revision); err != nil {
+		return err
+	}
+	if err := c.table(entryTable(status)); err != nil {
+		return err
+	}
+	if err := c.print("\n"); err != nil {
+		return err
+	}
+	return c.table(agentTable(status.Agents))
+}
+
+func entryTable(status wireStatus) [][]string {
+	table := [][]string{{"ENTRY", "ZONE", "ADDRESS", "REVISION", "STATE", "QUEUED", "RUNNING"}}
+	for _, e := range status.Entries {
+		table = append(table, []string{
+			e.Name, e.Zone, e.Address, strconv.FormatUint(e.Revision, 10), describeEntry(e, status.Store.Revision),
+			strconv.Itoa(int(e.Queued)), strconv.Itoa(int(e.Running)),
+		})
+	}
+	return table
+}
+
+func describeEntry(e wireEntry, head uint64) string {
+	if e.Error != "" {
+		return "silent: " + e.Error
+	}
+	words := []string{"ready"}
+	if !e.Ready {
+		words[0] = "not ready"
+	}
+	if e.Revision < head {
+		words = append(words, "behind")
+	}
+	if !e.StoreReachable {
+		words = append(words, "without store")
+	}
+	return strings.Join(words, ", ")
+}
+
+func agentTable(agents []wireAgent) [][]string {
+	table := [][]string{{"AGENT", "ZONE", "WORKER", "RACK", "ADDRESS", "POOLS", "RUNNING/SLOTS", "QUEUED", "MEAN", "STATE"}}
+	for _, a := range agents {
+		table = append(table, []string{
+			a.Name, a.Zone, a.Worker, a.Rack, a.Address, strings.Join(a.Pools, ","),
+			fmt.Sprintf("%d/%d", a.Running, a.Slots), strconv.Itoa(int(a.Queued)),
+			fmt.Sprintf("%.3fs", a.MeanSeconds), describeAgent(a),
+		})
+	}
+	return table
+}
+
+func describeAgent(a wireAgent) string {
+	switch {
+	case a.Leaving:
+		return "leaving"
+	case len(a.EjectedBy) > 0:
+		return "ejected by " + strings.Join(a.EjectedBy, ", ")
+	}
+	return "serving"
+}
--- a/historian/rows.go
+++ b/historian/rows.go
@@ -12,8 +12,10 @@
 // The wire structs hold the JSON form of rows in the tables and in files.
 
 type wireConfiguration struct {
-	Routes []wireRoute `json:"routes"`
-	Pools  []wirePool  `json:"pools"`
+	// Revision stands in files only, where it names the base of an edit.
+	Revision uint64      `json:"revision,omitempty"`
+	Routes   []wireRoute `json:"routes"`
+	Pools    []wirePool  `json:"pools"`
 }
 
 type wireRoute struct {
@@ -46,44 +48,43 @@
 	mostNumber  = 1 << 31
 )
 
-// EncodeConfiguration returns the JSON form of a configuration, indented for
-// people, as DecodeConfiguration reads it.
-func EncodeConfiguration(c Configuration) []byte {
-	return marshalIndented(encodeConfiguration(c))
+// FormatConfiguration returns the JSON form of a configuration with its
+// revision, indented for people, as DecodeConfiguration reads it.
+func FormatConfiguration(c Configuration) []byte {
+	w := encodeConfiguration(c)
+	w.Revision = c.Revision
+	data, err := json.MarshalIndent(w, "", "  ")
+	if err != nil {
+		panic("historian: wire struct without JSON form: " + err.Error())
+	}
+	return append(data, '\n')
 }
 
-// EncodeRoute and EncodePool return the indented JSON form of one row.
-func EncodeRoute(r router.Route) []byte { return marshalIndented(encodeRoute(r)) }
+// FormatRoute returns the JSON form of one route for programs.
+func FormatRoute(r router.Route) []byte { return marshal(encodeRoute(r)) }
 
-// EncodePool returns the indented JSON form of one pool.
-func EncodePool(p router.Pool) []byte { return marshalIndented(encodePool(p)) }
+// FormatPool returns the JSON form of one pool for programs.
+func FormatPool(p router.Pool) []byte { return marshal(encodePool(p)) }
 
 // DecodeConfiguration reads a configuration from JSON; file stands in errors.
+// Its revision is 0 when the text names none.
 func DecodeConfiguration(file string, data []byte) (Configuration, error) {
 	type tables struct {
-		routes []router.Route
-		pools  []router.Pool
+		revision uint64
+		routes   []router.Route
+		pools    []router.Pool
 	}
 	t, err := parser.Decode(file, data, func(o *parser.Object) tables {
 		return tables{
-			routes: parser.Required(o, "routes", parser.List(router.MostRoutes, parser.Nested(decodeRoute))),
-			pools:  parser.Required(o, "pools", parser.List(router.MostPools, parser.Nested(decodePool))),
+			revision: parser.Optional(o, "revision", 0, parser.Uint64),
+			routes:   parser.Required(o, "routes", parser.List(router.MostRoutes, parser.Nested(decodeRoute))),
+			pools:    parser.Required(o, "pools", parser.List(router.MostPools, parser.Nested(decodePool))),
 		}
 	})
 	if err != nil {
 		return Configuration{}, err
 	}
-	return NewConfiguration(0, t.routes, t.pools)
-}
-
-// DecodeRoute reads one route from JSON; file stands in errors.
-func DecodeRoute(file string, data []byte) (router.Route, error) {
-	return parser.Decode(file, data, decodeRoute)
-}
-
-// DecodePool reads one pool from JSON; file stands in errors.
-func DecodePool(file string, data []byte) (router.Pool, error) {
-	return parser.Decode(file, data, decodePool)
+	return NewConfiguration(t.revision, t.routes, t.pools)
 }
 
 func encodeConfiguration(c Configuration) wireConfiguration {
@@ -165,11 +166,3 @@
 	}
 	return data
 }
-
-func marshalIndented(wire any) []byte {
-	data, err := json.MarshalIndent(wire, "", "  ")
-	if err != nil {
-		panic("historian: wire struct without JSON form: " + err.Error())
-	}
-	return append(data, '\n')
-}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,13 @@
+// Agatevalve dispatches sub-second tasks to minions, and is the tool of its
+// operators.
+package main
+
+import (
+	"os"
+
+	"agatevalve/commands"
+)
+
+func main() {
+	os.Exit(commands.Execute(os.Args[1:], os.Stdout, os.Stderr))
+}
