registrar: Keep entries listed through an outage's end

After an outage every row has expired until its entry renews. A watcher that listed first dropped the others (the test saw [b] for [a b]), and a keeper deleted their rows as forgotten.

--- a/claimer/oracle_test.go
+++ b/claimer/oracle_test.go
@@ -84,16 +84,6 @@
 	return rows
 }
 
-// claim returns the stored claim of a job.
-func (o *oracle) claim(job task.JobID) (dispatcher.Claim, bool) {
-	row, ok := o.rows[claimer.KeyOf(job)]
-	if !ok {
-		return dispatcher.Claim{}, false
-	}
-	claim, err := claimer.DecodeRow(row)
-	return claim, err == nil
-}
-
 // ask records a command, which replaces the entry's earlier one for the job.
 func (o *oracle) ask(claim dispatcher.Claim) {
 	if older, ok := o.waiting(claim.Owner, claim.Job); ok {
--- a/registrar/keeper.go
+++ b/registrar/keeper.go
@@ -62,6 +62,9 @@
 	seen time.Time
 	// graceUntil is when members that expired during an outage are given up.
 	graceUntil time.Time
+	// forgetFrom is when expired rows may be deleted. It lies well after an
+	// outage, so that no row is deleted that its entry is about to renew.
+	forgetFrom time.Time
 }
 
 // New starts a Keeper, which registers its entry at once.
@@ -151,19 +154,25 @@
 		return
 	}
 	now := time.Now()
-	live := k.update(members, now)
+	live, forget := k.update(members, now)
 	if k.options.Changed != nil {
 		k.options.Changed(live)
 	}
-	k.forget(ctx, members, now)
+	if forget && k.registered() {
+		k.forget(ctx, members, now)
+	}
 }
 
-// update takes a list that was read and returns the live members. After an
-// outage all rows have expired until their entries have renewed, so those
-// that were live before it get the time for that.
-func (k *Keeper) update(members []Member, now time.Time) []Member {
+// update takes a list that was read. It returns the live members, and whether
+// expired rows may be deleted. After an outage all rows have expired until
+// their entries have renewed, so those that were live before it get the time
+// for that.
+func (k *Keeper) update(members []Member, now time.Time) (live []Member, forget bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if now.Sub(k.seen) > k.options.Lifetime/2 {
+		k.forgetFrom = now.Add(forgetAfter)
+	}
 	if !k.seen.IsZero() && now.Sub(k.seen) > k.options.Lifetime/2 {
 		k.graceUntil = now.Add(k.options.Lifetime)
 	}
@@ -173,21 +182,18 @@
 			wereLive[m.Process] = true
 		}
 	}
-	live := make([]Member, 0, len(members))
+	live = make([]Member, 0, len(members))
 	for _, m := range members {
 		if now.Before(m.Expires) || wereLive[m.Process] {
 			live = append(live, m)
 		}
 	}
 	k.members, k.seen = live, now
-	return live
+	return live, now.After(k.forgetFrom)
 }
 
 // forget deletes rows of entries that ended without removing them.
 func (k *Keeper) forget(ctx context.Context, members []Member, now time.Time) {
-	if !k.registered() {
-		return
-	}
 	var writes []tabler.Write
 	for _, m := range members {
 		if m.Expires.Add(forgetAfter).Before(now) && len(writes) < maxForgotten {
