testscripts: Run every operator command with good and bad input

Cause: the commands had been run by hand only. Change: eight scripts against the table service's stand-in, with stand-in entries and agents: edits, whole configurations, conflicts, an outage, a lost reply, an unknown fate, entries that are behind or silent, drains, settings, help. Exit codes are compared. Ruled out: fixed ports (taken on shared machines) and sleeps (a dial loop waits for the listener).

--- /dev/null
+++ b/testscripts/testscripts_test.go
@@ -0,0 +1,134 @@
+package testscripts_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"agatevalve/commands"
+	"agatevalve/emulator"
+)
+
+const (
+	// listenWithin bounds the start of a process.
+	listenWithin = 20 * time.Second
+	dialPause    = 20 * time.Millisecond
+	writeMode    = 0o600
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"agatevalve": func() { os.Exit(commands.Execute(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+// TestScripts runs each script in a directory of its own, with platform.json
+// for a stand-in on a free port of 127.0.0.1.
+func TestScripts(t *testing.T) {
+	examples, err := filepath.Abs("../examples")
+	if err != nil {
+		t.Fatal(err)
+	}
+	testscript.Run(t, testscript.Params{
+		Dir:                 ".",
+		RequireExplicitExec: true,
+		RequireUniqueNames:  true,
+		Setup: func(env *testscript.Env) error {
+			store, err := freeAddress()
+			if err != nil {
+				return err
+			}
+			env.Setenv("AGATEVALVE_STORE", store.String())
+			env.Setenv("AGATEVALVE_WHO", "ana")
+			env.Setenv("EXAMPLES", examples)
+			settings := fmt.Sprintf("{\n  \"listen\": %q,\n  \"write-takes\": \"1ms\"\n}\n", store)
+			return os.WriteFile(filepath.Join(env.WorkDir, "platform.json"), []byte(settings), writeMode)
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"exits":     exits,
+			"listening": listening,
+			"fault":     switchFault,
+			"entry":     startEntry,
+		},
+	})
+}
+
+func freeAddress() (netip.AddrPort, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	defer func() { _ = listener.Close() }()
+	return netip.ParseAddrPort(listener.Addr().String())
+}
+
+// exits runs a command and compares its exit code: exits CODE COMMAND ARGS.
+func exits(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: exits CODE COMMAND ARGS")
+	}
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	got := 0
+	if err := ts.Exec(args[1], args[2:]...); err != nil {
+		var exit *exec.ExitError
+		if !errors.As(err, &exit) {
+			ts.Fatalf("%v", err)
+		}
+		got = exit.ExitCode()
+	}
+	if got != want {
+		ts.Fatalf("exit code %d, want %d", got, want)
+	}
+}
+
+// listening waits until an address accepts connections: listening ADDRESS.
+func listening(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: listening ADDRESS")
+	}
+	deadline := time.Now().Add(listenWithin)
+	for time.Now().Before(deadline) {
+		connection, err := net.DialTimeout("tcp", args[0], time.Second)
+		if err == nil {
+			_ = connection.Close()
+			return
+		}
+		time.Sleep(dialPause)
+	}
+	ts.Fatalf("%s does not accept connections", args[0])
+}
+
+// switchFault switches a fault of the stand-in on, or all off:
+// fault KIND OPERATIONS COUNT, or fault none.
+func switchFault(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 3 && len(args) != 1 {
+		ts.Fatalf("usage: fault KIND OPERATIONS COUNT, or fault none")
+	}
+	method, body := http.MethodDelete, ""
+	if len(args) == 3 {
+		method, body = http.MethodPost, fmt.Sprintf(`{"kind":%q,"on":%q,"count":%s}`, args[0], args[1], args[2])
+	}
+	url := "http://" + ts.Getenv("AGATEVALVE_STORE") + emulator.FaultsPath
+	request, err := http.NewRequestWithContext(context.Background(), method, url, strings.NewReader(body))
+	ts.Check(err)
+	response, err := http.DefaultClient.Do(request)
+	ts.Check(err)
+	_ = response.Body.Close()
+	if response.StatusCode/100 != 2 {
+		ts.Fatalf("fault refused: %s", response.Status)
+	}
+}
