entry: Wire an entry, and show a whole system in one process

Cause: requests have to go from a caller to a minion and back through the shipped code. Ruled out: a lock around the core, which would let slow adapters hold it; adapters that call back into the core, which could deadlock on its ring. Change: one goroutine owns the core and steps it with batches from a ring; greeter serves agents and other entries and asks owners for answers; exposer writes metrics as text; serve runs an entry and stops it gracefully; demo runs store, entry, three agents and three minions. A closing linker writes the acknowledgements that wait, which agents otherwise keep results for.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -23,6 +23,8 @@
 	Format  string         `help:"Form of the output: table for people, json for programs." enum:"table,json" default:"table"`
 	Timeout time.Duration  `help:"How long to try, with its unit." default:"20s"`
 
+	Serve    ServeCommand    `cmd:"" help:"Run an entry."`
+	Demo     DemoCommand     `cmd:"" help:"Run a whole small system in one process, to try it."`
 	Platform PlatformCommand `cmd:"" help:"Run a stand-in of the platform's table service, for trials."`
 
 	Routes   RoutesCommand   `cmd:"" help:"Show and edit the table of routes."`
--- /dev/null
+++ b/commands/demo.go
@@ -0,0 +1,89 @@
+package commands
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"agatevalve/demonstrator"
+)
+
+const (
+	// demoReadyWithin bounds the start of the demonstration.
+	demoReadyWithin = 20 * time.Second
+	// demoCheckWithin bounds the check.
+	demoCheckWithin = 2 * time.Minute
+	// demoStopWithin bounds the stop.
+	demoStopWithin = 30 * time.Second
+)
+
+// DemoCommand runs a whole small system in one process.
+type DemoCommand struct {
+	Callers     netip.AddrPort `help:"Address for requests and jobs; port 0 takes a free one." default:"127.0.0.1:8010" placeholder:"IP:PORT"`
+	MeanService time.Duration  `help:"Mean time that a task takes at the minion of middle speed." default:"100ms"`
+	Check       bool           `help:"Send requests and a job, compare what ran with what is promised, and exit with 0 or 1."`
+	Verbose     bool           `help:"Log what the parts do."`
+}
+
+// Run runs the demonstration until it is interrupted, or the check.
+func (d *DemoCommand) Run(c *console) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if d.Check {
+		d.Callers = netip.AddrPortFrom(d.Callers.Addr(), 0)
+	}
+	o := demonstrator.Options{Callers: d.Callers, MeanService: d.MeanService, Log: slog.New(slog.DiscardHandler)}
+	if d.Verbose {
+		o.Log = slog.Default()
+	}
+	starting, cancel := context.WithTimeout(ctx, demoReadyWithin)
+	defer cancel()
+	system, err := demonstrator.New(starting, o)
+	if err != nil {
+		return err
+	}
+	if d.Check {
+		err = d.check(ctx, c, system)
+	} else if err = d.explain(c, system); err == nil {
+		<-ctx.Done()
+		c.note("demo: Stops")
+	}
+	ending, cancel := context.WithTimeout(context.Background(), demoStopWithin)
+	defer cancel()
+	if stopped := system.Close(ending); err == nil {
+		err = stopped
+	}
+	return err
+}
+
+func (d *DemoCommand) check(ctx context.Context, c *console, s *demonstrator.System) error {
+	ctx, cancel := context.WithTimeout(ctx, demoCheckWithin)
+	defer cancel()
+	return s.Check(ctx, c.stdout)
+}
+
+func (d *DemoCommand) explain(c *console, s *demonstrator.System) error {
+	callers, operators := s.Entry().Callers(), s.Entry().Operators()
+	return c.print(`One entry, three agents and three minions of different speed are ready.
+
+A request, which runs one task:
+  curl -i -X POST -d '{"climber":"Ana"}' http://%[1]s/holds
+
+A job of three tasks; send it twice, and each task still starts once:
+  curl -i http://%[1]s/holds -H 'Content-Type: application/vnd.agatevalve.job+json' -H 'Idempotency-Key: "first-job"' \
+    -d '{"tasks":[{"body":"one"},{"body":"two"},{"method":"GET","path":"/holds/3"}]}'
+
+A refusal, which proves that nothing ran:
+  curl -i http://%[1]s/elsewhere
+
+What operators see:
+  curl http://%[2]s/readyz
+  curl http://%[2]s/metrics
+
+Interrupt to stop.
+`, callers, operators)
+}
--- /dev/null
+++ b/commands/serve.go
@@ -0,0 +1,37 @@
+package commands
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"agatevalve/entry"
+	"agatevalve/loader"
+)
+
+// ServeCommand runs an entry until it is interrupted, and then stops it
+// gracefully.
+type ServeCommand struct {
+	Settings string `arg:"" help:"Settings file (JSON) of the entry; see examples/entry-1.json." type:"existingfile"`
+}
+
+// Run serves callers. A second signal ends the process at once.
+func (c *ServeCommand) Run(_ *console) error {
+	settings, err := loader.ReadEntry(c.Settings)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	running, err := entry.New(entry.Options{Settings: settings, Log: slog.Default()})
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	stop()
+	ending, cancel := context.WithTimeout(context.Background(), settings.Limits.StopWithin)
+	defer cancel()
+	return running.Close(ending)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,278 @@
+// Package entry wires the duties of one entry: the callers', operators' and
+// internal listeners, the links to agents, the claims, the configuration, and
+// the goroutine that owns the deciding core.
+package entry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"agatevalve/claimer"
+	"agatevalve/common/fault"
+	"agatevalve/common/task"
+	"agatevalve/connector"
+	"agatevalve/dispatcher"
+	"agatevalve/follower"
+	"agatevalve/greeter"
+	"agatevalve/historian"
+	"agatevalve/linker"
+	"agatevalve/loader"
+	"agatevalve/receiver"
+	"agatevalve/registrar"
+	"agatevalve/router"
+	"agatevalve/tabler"
+	"agatevalve/waiter"
+)
+
+const (
+	// keepBytes caps the answers kept for resubmissions.
+	keepBytes = 64 << 20
+	// headerSlack is how far a header may exceed its limit and still get a
+	// problem document in place of the server's bare refusal.
+	headerSlack = 64 << 10
+	// otherHeaderBytes caps headers on the listeners that callers can't reach.
+	otherHeaderBytes = 64 << 10
+)
+
+// Options are the settings and shared dependencies of an Entry.
+type Options struct {
+	Settings loader.Entry
+	// Table is the platform's table service; nil connects to Settings.Store.
+	Table tabler.Table
+	// Log may be nil.
+	Log *slog.Logger
+}
+
+// Entry is one running entry.
+type Entry struct {
+	o        Options
+	self     task.Process
+	registry metrics.Registry
+	waiters  *waiter.Registry
+	// stopping is true from the start of a planned stop.
+	stopping atomic.Bool
+	// registered is closed once registrar is set.
+	registered chan struct{}
+
+	// connector is nil when the table came with the options.
+	connector *connector.Client
+	table     *watchedTable
+	follower  *follower.Follower
+	registrar *registrar.Keeper
+	claimer   *claimer.Claimer
+	linker    *linker.Linker
+	asker     *greeter.Asker
+	greeter   *greeter.Greeter
+	loop      *loop
+
+	callers  *server
+	ops      *server
+	internal *server
+}
+
+// New starts an entry. It returns once all listeners are open; the entry is
+// ready a little later, see Ready.
+func New(o Options) (*Entry, error) {
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	self := task.Process{Name: o.Settings.Name, Incarnation: task.Incarnation(max(1, rand.Uint64()))}
+	o.Log = o.Log.With("entry", self.Name)
+	e := &Entry{o: o, self: self, registry: metrics.NewRegistry(), waiters: waiter.New(), registered: make(chan struct{})}
+	if err := e.open(); err != nil {
+		return nil, err
+	}
+	e.wire()
+	e.serve()
+	o.Log.Info("entry: Started", "incarnation", self.Incarnation, "callers", e.Callers(), "operators", e.Operators(), "internal", e.Internal())
+	return e, nil
+}
+
+// Self returns the name and incarnation of the entry.
+func (e *Entry) Self() task.Process { return e.self }
+
+// Callers returns the address of the callers' listener.
+func (e *Entry) Callers() netip.AddrPort { return e.callers.address }
+
+// Operators returns the address of the operators' listener.
+func (e *Entry) Operators() netip.AddrPort { return e.ops.address }
+
+// Internal returns the address of the listener for agents and other entries.
+func (e *Entry) Internal() netip.AddrPort { return e.internal.address }
+
+// Ready reports whether the newest known configuration is in force here and
+// the entry is not stopping.
+func (e *Entry) Ready() bool { return e.notReady() == "" }
+
+// Close stops the entry gracefully: it turns unready, serves on while its
+// balancer notices, answers what is in flight, deregisters and ends. What is
+// left when ctx ends is cut and reported.
+func (e *Entry) Close(ctx context.Context) error {
+	e.stopping.Store(true)
+	e.o.Log.Info("entry: Stops", "notice", e.o.Settings.Limits.StopNotice)
+	pause(ctx, e.o.Settings.Limits.StopNotice)
+	e.loop.events.Put(ctx, dispatcher.Drained{})
+	err := e.callers.stop(ctx)
+	select {
+	case <-e.loop.idle:
+	case <-ctx.Done():
+		err = errors.Join(err, fault.Wrap(ctx.Err(), fault.Expired, "raise stop-within", "tasks still ran"))
+	}
+	e.registrar.Close()
+	err = errors.Join(err, e.internal.stop(ctx))
+	e.unwire()
+	err = errors.Join(err, e.ops.stop(ctx))
+	e.o.Log.Info("entry: Stopped", "error", err)
+	return err
+}
+
+// open opens all listeners or none.
+func (e *Entry) open() error {
+	var err error
+	listeners := []struct {
+		name   string
+		at     netip.AddrPort
+		server **server
+	}{
+		{"callers", e.o.Settings.Callers, &e.callers},
+		{"operators", e.o.Settings.Operators, &e.ops},
+		{"internal calls", e.o.Settings.Internal, &e.internal},
+	}
+	for i, l := range listeners {
+		if *l.server, err = open(l.name, l.at); err == nil {
+			continue
+		}
+		for _, opened := range listeners[:i] {
+			err = errors.Join(err, (*opened.server).listener.Close())
+		}
+		return err
+	}
+	return nil
+}
+
+// wire starts all duties but the listeners.
+func (e *Entry) wire() {
+	table := e.o.Table
+	if table == nil {
+		e.connector = connector.New(connector.Options{Store: e.o.Settings.Store})
+		table = e.connector
+	}
+	e.table = newWatchedTable(table, e.registry)
+	limits := e.o.Settings.Limits
+	core := dispatcher.New(dispatcher.Options{
+		Self:        e.self,
+		Address:     e.Internal(),
+		Zone:        e.o.Settings.Zone,
+		QueueTasks:  limits.QueueTasks,
+		KeepAnswers: limits.KeepAnswers,
+		KeepBytes:   keepBytes,
+		AnswerBytes: limits.AnswerBytes,
+		Random:      newRandom(),
+	})
+	e.loop = newLoop(core, e.waiters, e.registry)
+	e.follower = follower.New(follower.Options{
+		Source: historian.New(e.table),
+		Log:    e.o.Log,
+	})
+	e.linker = linker.New(linker.Options{
+		Self:     e.self,
+		Events:   e.loop.events,
+		Revision: e.follower.Revision,
+		Hear:     e.follower.Hear,
+		Log:      e.o.Log,
+		Metrics:  e.registry,
+	})
+	e.asker = greeter.NewAsker(greeter.AskerOptions{Events: e.loop.events, Log: e.o.Log, Metrics: e.registry})
+	e.claimer = claimer.New(claimer.Options{
+		Table:    e.table,
+		Deliver:  func(ev dispatcher.Event) { e.loop.events.Put(context.Background(), ev) },
+		Registry: e.registry,
+		Log:      e.o.Log,
+	})
+	e.loop.links, e.loop.owners, e.loop.claims = e.linker, e.asker, e.claimer
+	e.loop.start()
+}
+
+// serve opens the entry to callers, operators and its own kind.
+func (e *Entry) serve() {
+	limits := e.o.Settings.Limits
+	e.greeter = greeter.New(greeter.Options{
+		Self:     e.self,
+		Events:   e.loop.events,
+		Waiters:  e.waiters,
+		Revision: e.follower.Revision,
+		Hear:     e.follower.Hear,
+		Meet:     e.linker.Meet,
+		Status:   e.status,
+		Log:      e.o.Log,
+		Metrics:  e.registry,
+	})
+	callers := receiver.New(receiver.Options{
+		Limits:   limits,
+		Events:   e.loop.events,
+		Waiters:  e.waiters,
+		Table:    e.routes,
+		Stopping: e.stopping.Load,
+		Log:      e.o.Log,
+		Metrics:  e.registry,
+	})
+	e.internal.serve(e.greeter.Handler(), otherHeaderBytes, e.o.Log)
+	e.callers.serve(callers, limits.HeaderBytes+headerSlack, e.o.Log)
+	e.ops.serve(e.operators(), otherHeaderBytes, e.o.Log)
+	e.registrar = registrar.New(registrar.Options{
+		Table:   e.table,
+		Member:  registrar.Member{Process: e.self, Address: e.Internal(), Zone: e.o.Settings.Zone},
+		Changed: e.hearMembers,
+		Log:     e.o.Log,
+	})
+	close(e.registered)
+}
+
+// unwire ends all duties but the listeners.
+func (e *Entry) unwire() {
+	e.asker.Close()
+	e.claimer.Close()
+	e.loop.close()
+	e.linker.Close()
+	e.follower.Close()
+	if e.connector != nil {
+		e.connector.Close()
+	}
+}
+
+// routes returns the table in force, or nil before the store was first read.
+func (e *Entry) routes() *router.Table {
+	table := e.follower.Current()
+	if table.Revision() == 0 && !e.follower.Ready() {
+		return nil
+	}
+	return table
+}
+
+// hearMembers passes on the revisions that other entries have in force, and
+// registers the one in force here.
+func (e *Entry) hearMembers(members []registrar.Member) {
+	for _, m := range members {
+		e.follower.Hear(m.Revision)
+	}
+	<-e.registered
+	e.registrar.SetRevision(e.follower.Revision())
+}
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/linker/inquiry.go
+++ b/linker/inquiry.go
@@ -76,7 +76,7 @@
 // inquire repeats an idempotent call, each try over a new connection, until it
 // is answered, the agent's run is known to have ended, or the deadline passes.
 func (l *Linker) inquire(peer dispatcher.Peer, deadline time.Time, call inquiry) error {
-	ctx, cancel := context.WithDeadline(l.ctx, deadline)
+	ctx, cancel := context.WithDeadline(l.asking, deadline)
 	defer cancel()
 	pause := firstRetry
 	var last error
--- a/linker/link.go
+++ b/linker/link.go
@@ -108,7 +108,7 @@
 			k.refuse(o.start)
 		}
 	}
-	if k.linker.ctx.Err() != nil {
+	if k.linker.isClosed() {
 		return
 	}
 	reason := context.Cause(k.ctx)
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -32,6 +32,8 @@
 	DefaultMessageBytes = 48 << 20
 	// reopenAfter is the least time between two links to one agent.
 	reopenAfter = 100 * time.Millisecond
+	// closeWithin bounds the writing of what waits when the linker closes.
+	closeWithin = time.Second
 )
 
 // Events takes what happened towards the core.
@@ -64,8 +66,12 @@
 type Linker struct {
 	o        Options
 	counters counters
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// ctx ends the links.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// asking ends the inquiries.
+	asking     context.Context
+	stopAsking context.CancelFunc
 	// group counts the goroutines of links and inquiries.
 	group sync.WaitGroup
 	// inquiries caps the settle and fence calls in flight.
@@ -82,16 +88,16 @@
 // New returns a linker without links.
 func New(o Options) *Linker {
 	o = o.withDefaults()
-	ctx, cancel := context.WithCancel(context.Background())
-	return &Linker{
+	l := &Linker{
 		o:         o,
 		counters:  newCounters(o.Metrics),
-		ctx:       ctx,
-		cancel:    cancel,
 		inquiries: make(chan struct{}, maxInquiries),
 		links:     make(map[task.Process]*link),
 		reopen:    make(map[task.Process]time.Time),
 	}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	l.asking, l.stopAsking = context.WithCancel(l.ctx)
+	return l
 }
 
 // Meet opens a link to an agent unless there is one.
@@ -120,13 +126,27 @@
 	l.offer(peer, order{kind: ackOrder, sent: sent})
 }
 
-// Close cuts all links and ends all calls.
+// Close ends all calls, writes what waits for the links, and ends them. No
+// event is given any more.
 func (l *Linker) Close() {
+	l.stopAsking()
 	l.mu.Lock()
 	l.closed = true
+	for _, k := range l.links {
+		k.out.Close()
+	}
 	l.mu.Unlock()
-	l.cancel()
+	timer := time.AfterFunc(closeWithin, l.cancel)
 	l.group.Wait()
+	timer.Stop()
+	l.cancel()
+}
+
+// isClosed reports whether Close was called.
+func (l *Linker) isClosed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed
 }
 
 func (l *Linker) offer(peer dispatcher.Peer, o order) {
@@ -173,7 +193,7 @@
 	l.reopen[k.peer.Process] = now.Add(reopenAfter/2 + rand.N(reopenAfter))
 }
 
-func (l *Linker) put(ev dispatcher.Event) { l.o.Events.Put(l.ctx, ev) }
+func (l *Linker) put(ev dispatcher.Event) { l.o.Events.Put(l.asking, ev) }
 
 func (o Options) withDefaults() Options {
 	if o.PingAfter == 0 {
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -323,3 +323,18 @@
 	b.is.True(b.linker.Send(peer, startOf(1)))
 	b.is.True(!b.linker.Send(peer, startOf(2)))
 }
+
+func TestCloseWritesWhatWaits(t *testing.T) {
+	fake := &fakeAgent{process: agent}
+	b := newBench(t, linker.Options{})
+	peer := dispatcher.Peer{Process: agent, Address: fake.listen(t)}
+	start := startOf(0)
+	b.is.True(b.linker.Send(peer, start))
+	await[dispatcher.Ended](b)
+	for i := range 1000 {
+		s := startOf(i)
+		b.linker.Acknowledge(peer, sentOf(s))
+	}
+	b.linker.Close()
+	fake.count(func() { b.is.Equal(len(fake.acks), 1000) })
+}
--- a/linker/writer.go
+++ b/linker/writer.go
@@ -53,7 +53,11 @@
 			ping = true
 		case <-k.out.Ready():
 		}
-		orders, _ = k.out.TakeUpTo(orders[:0], frameOrders)
+		var open bool
+		if orders, open = k.out.TakeUpTo(orders[:0], frameOrders); !open {
+			k.leave()
+			return
+		}
 		frames := k.frames(orders)
 		if ping {
 			pings++
@@ -67,6 +71,13 @@
 	}
 }
 
+// leave ends the stream in good order, so that the agent reads all of it.
+func (k *link) leave() {
+	if k.stream.CloseRequest() == nil {
+		<-k.ctx.Done()
+	}
+}
+
 // greet sends the first frame and waits until the agent has proved its
 // incarnation, so that a link which never opens leaves no start in doubt.
 func (k *link) greet() bool {
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -142,7 +142,13 @@
 	Status int
 }
 
-func do(t *testing.T, method, url string, header map[string]string, body string) (*http.Response, string) {
+// reply is an answer whose body was read whole.
+type reply struct {
+	StatusCode int
+	Header     http.Header
+}
+
+func do(t *testing.T, method, url string, header map[string]string, body string) (reply, string) {
 	t.Helper()
 	request, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
@@ -160,7 +166,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return response, string(content)
+	return reply{response.StatusCode, response.Header}, string(content)
 }
 
 func TestBadInputIsRefusedAndNeverSubmitted(t *testing.T) {
