--- a/runner/core.go
+++ b/runner/core.go
@@ -90,6 +90,7 @@
 		options:  options,
 		jobs:     make(map[task.JobID]*job),
 		unacked:  make(map[task.ID]*record),
+		expiries: newTimeline[expiry](),
 		refusals: newRefusals(options.Remember),
 		links:    make(map[task.Process]bool),
 	}
--- a/runner/record.go
+++ b/runner/record.go
@@ -75,6 +75,10 @@
 	return task.Report{Task: id, Attempt: attempt, State: task.Unstarted, Refusal: refusal}
 }
 
+func forgotten(id task.ID, attempt task.Attempt) task.Report {
+	return task.Report{Task: id, Attempt: attempt, State: task.Forgotten}
+}
+
 func (c *Core) find(id task.ID) *record {
 	j := c.jobs[id.Job]
 	if j == nil {
--- a/runner/refusals.go
+++ b/runner/refusals.go
@@ -27,7 +27,11 @@
 }
 
 func newRefusals(limit int) *refusals {
-	return &refusals{limit: limit, until: make(map[attempt]time.Time)}
+	return &refusals{
+		limit:    limit,
+		until:    make(map[attempt]time.Time),
+		expiries: newTimeline[attempt](),
+	}
 }
 
 func (m *refusals) has(a attempt) bool {
--- a/runner/settles.go
+++ b/runner/settles.go
@@ -25,9 +25,8 @@
 	case r != nil && r.start.Attempt == s.Attempt:
 		c.drop(r, task.Withdrawn)
 		return r.unstarted(task.Withdrawn)
-	case !s.Deadline.Add(ClockAllowance).After(c.latest):
-		// A start of the attempt may have been forgotten by now.
-		return task.Report{Task: s.Task, Attempt: s.Attempt, State: task.Forgotten}
+	case c.mayBeForgotten(s.Deadline):
+		return forgotten(s.Task, s.Attempt)
 	}
 	c.refusals.add(c.now, attempt{s.Task, s.Attempt}, s.Deadline)
 	if r != nil {
@@ -38,7 +37,7 @@
 
 func (c *Core) fence(e Fenced) {
 	f := e.Fence
-	if !f.Deadline.Add(ClockAllowance).After(c.latest) {
+	if c.mayBeForgotten(f.Deadline) {
 		c.emit(Reject{Ticket: e.Ticket, Err: fault.New(fault.Expired, "treat the job as one that may have run",
 			"the deadline of job %s has passed, and its tasks may be forgotten", f.Job)})
 		return
--- a/runner/starts.go
+++ b/runner/starts.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"agatevalve/common/task"
 )
@@ -11,6 +12,10 @@
 		c.double(e, r)
 		return
 	}
+	if c.mayBeForgotten(e.Start.Deadline) {
+		c.emit(Send{To: e.From, Report: forgotten(e.Start.Task, e.Start.Attempt)})
+		return
+	}
 	if refusal := c.refusalOf(e.Start); refusal != 0 {
 		c.refuse(e, refusal)
 		return
@@ -21,6 +26,13 @@
 	c.emit(Accept{To: e.From, Task: e.Start.Task, Attempt: e.Start.Attempt})
 }
 
+// mayBeForgotten reports whether a task with this deadline may have started and
+// been forgotten since. Then even a start that comes for the first time can't be
+// told from a late copy, and nothing proves that the task hasn't run.
+func (c *Core) mayBeForgotten(deadline time.Time) bool {
+	return !deadline.Add(ClockAllowance).After(c.latest)
+}
+
 // double answers a start of a task that was accepted before with what is known
 // of the first start.
 func (c *Core) double(e Arrived, r *record) {
