entry: Prove one start through two entries in separate processes

Cause: a job may be sent again through another entry, while it runs or after, and every planned stop has to be graceful. Ruled out: two entries in one process, which share what separate ones do not. Change: a test builds both binaries, starts the platform stand-in, two entries and three agents from the example settings on free ports, and compares answers and the minions' counts. Conclusion: the main job runs on separate processes.

--- /dev/null
+++ b/entry/processes_test.go
@@ -0,0 +1,146 @@
+package entry_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"agatevalve/emulator"
+)
+
+const (
+	tasks = 100
+	// deadlineAfter is the deadline of the jobs here. Agents keep the results
+	// of a claimed job until then, also through a planned stop.
+	deadlineAfter = 6 * time.Second
+)
+
+type answer struct {
+	status int
+	job    string
+	body   string
+}
+
+func jobOf(name string) string {
+	var list []string
+	for i := range tasks {
+		list = append(list, fmt.Sprintf(`{"path":"/holds/%d","body":"%s %d"}`, i, name, i))
+	}
+	return `{"tasks":[` + strings.Join(list, ",") + `]}`
+}
+
+func submit(t *testing.T, address, key, body string) answer {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/holds", strings.NewReader(body))
+	if err != nil {
+		t.Error(err)
+		return answer{}
+	}
+	request.Header.Set("Content-Type", "application/vnd.agatevalve.job+json")
+	request.Header.Set("Idempotency-Key", key)
+	request.Header.Set("Agatevalve-Team", "cartago-desk")
+	request.Header.Set("Agatevalve-Deadline", time.Now().Add(deadlineAfter).Format(time.RFC3339Nano))
+	return do(t, request)
+}
+
+func do(t *testing.T, request *http.Request) answer {
+	t.Helper()
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Error(err)
+		return answer{}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Error(err)
+	}
+	return answer{response.StatusCode, response.Header.Get("Agatevalve-Job"), string(body)}
+}
+
+// checkOnce fails the test unless each task of a job was started once.
+func checkOnce(t *testing.T, s *system, job string) {
+	t.Helper()
+	starts := s.starts()
+	for i := range tasks {
+		if n := starts[fmt.Sprintf("%s-%d", job, i)]; n != 1 {
+			t.Errorf("task %d of job %s started %d times", i, job, n)
+		}
+	}
+}
+
+func TestJobThroughTwoEntriesRunsOnce(t *testing.T) {
+	is := is.New(t)
+	s := startSystem(t)
+
+	// One after the other.
+	first := submit(t, s.callers(0), "job-1", jobOf("one"))
+	is.Equal(first.status, http.StatusOK)
+	second := submit(t, s.callers(1), "job-1", jobOf("one"))
+	is.Equal(second, first) // The same answer, byte for byte.
+	checkOnce(t, s, first.job)
+
+	// Another body under the key is refused everywhere.
+	is.Equal(submit(t, s.callers(0), "job-1", jobOf("two")).status, http.StatusUnprocessableEntity)
+	is.Equal(submit(t, s.callers(1), "job-1", jobOf("two")).status, http.StatusUnprocessableEntity)
+
+	// Through both entries at once, several times.
+	var group sync.WaitGroup
+	answers := make([]answer, 8)
+	for i := range answers {
+		group.Go(func() { answers[i] = submit(t, s.callers(i%2), "job-2", jobOf("three")) })
+	}
+	group.Wait()
+	for _, a := range answers {
+		is.Equal(a.status, http.StatusOK)
+		is.Equal(a, answers[0])
+	}
+	checkOnce(t, s, answers[0].job)
+
+	checkStops(t, s)
+}
+
+// checkStops stops all processes while a request runs.
+func checkStops(t *testing.T, s *system) {
+	t.Helper()
+	is := is.New(t)
+	started := len(s.starts())
+	slow := make(chan answer)
+	go func() {
+		request, err := http.NewRequest(http.MethodPost, "http://"+s.callers(0)+"/holds", strings.NewReader("slow"))
+		if err != nil {
+			t.Error(err)
+		}
+		request.Header.Set(emulator.ServiceHeader, "3s")
+		slow <- do(t, request)
+	}()
+	s.await("the slow request has started", func() bool { return len(s.starts()) > started })
+	stopped := make(chan int)
+	go func() { stopped <- s.entries[0].stop(t) }()
+	s.await("entry-1 is not ready", func() bool {
+		status, _ := get("http://" + s.operators(0) + "/readyz")
+		return status != http.StatusOK
+	})
+	is.Equal((<-slow).status, http.StatusOK) // The stop cut nothing.
+	is.Equal(<-stopped, 0)
+
+	// The other entry goes on.
+	is.Equal(submit(t, s.callers(1), "job-3", jobOf("four")).status, http.StatusOK)
+	is.Equal(s.entries[1].stop(t), 0)
+	var group sync.WaitGroup
+	for _, a := range s.agents {
+		group.Go(func() {
+			if code := a.stop(t); code != 0 {
+				t.Errorf("%s ended with %d", a.name, code)
+			}
+		})
+	}
+	group.Wait()
+	is.Equal(s.platform.stop(t), 0)
+}
--- /dev/null
+++ b/entry/system_test.go
@@ -0,0 +1,286 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"agatevalve/dialer"
+	"agatevalve/emulator"
+	v1 "agatevalve/wire/agatevalvev1"
+	"agatevalve/wire/agatevalvev1/agatevalvev1connect"
+)
+
+const (
+	// patience bounds the wait for something that must happen.
+	patience = time.Minute
+	// pollPause is the pause between two looks at a process.
+	pollPause = 20 * time.Millisecond
+	examples  = "../examples"
+	writeMode = 0o600
+	// meanService is the mean service time of the stand-in minions.
+	meanService = 10 * time.Millisecond
+)
+
+// process is a started binary.
+type process struct {
+	name    string
+	command *exec.Cmd
+	output  *lockedBuffer
+	// done is closed once the process has ended.
+	done chan struct{}
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// stop asks a process to stop and returns its exit code.
+func (p *process) stop(t *testing.T) int {
+	t.Helper()
+	if err := p.command.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-p.done:
+	case <-time.After(patience):
+		t.Fatalf("%s did not stop", p.name)
+	}
+	return p.command.ProcessState.ExitCode()
+}
+
+// system is the example deployment as separate processes on free ports of
+// 127.0.0.1, with minions in the test's own process.
+type system struct {
+	t         *testing.T
+	directory string
+	// addresses maps those of the examples to the free ones.
+	addresses map[string]string
+	platform  *process
+	entries   []*process
+	agents    []*process
+	minions   []*emulator.Minion
+}
+
+// startSystem builds both binaries and starts all processes of the examples.
+func startSystem(t *testing.T) *system {
+	t.Helper()
+	s := &system{t: t, directory: t.TempDir(), addresses: make(map[string]string)}
+	s.build()
+	s.copyExamples()
+	for i := range 3 {
+		s.startMinion(s.addresses[fmt.Sprintf("127.0.0.1:90%d1", i+1)], i)
+	}
+	s.platform = s.start("agatevalve", "platform", "platform.json")
+	s.awaitListening(s.addresses["127.0.0.1:7000"])
+	s.run("agatevalve", "--store", s.addresses["127.0.0.1:7000"], "config", "apply", "routes-and-pools.json",
+		"--base", "0", "--who", "ana", "--why", "first")
+	for i := range 2 {
+		s.entries = append(s.entries, s.start("agatevalve", "serve", fmt.Sprintf("entry-%d.json", i+1)))
+	}
+	for i := range 3 {
+		s.agents = append(s.agents, s.start("agatevalve-agent", fmt.Sprintf("agent-%d.json", i+1)))
+	}
+	for i := range 2 {
+		s.awaitReady(i)
+	}
+	return s
+}
+
+func (s *system) build() {
+	for binary, source := range map[string]string{"agatevalve": "agatevalve", "agatevalve-agent": "agatevalve/agatevalve-agent"} {
+		output, err := exec.Command("go", "build", "-o", filepath.Join(s.directory, binary), source).CombinedOutput()
+		if err != nil {
+			s.t.Fatalf("build %s: %v\n%s", source, err, output)
+		}
+	}
+}
+
+// copyExamples writes the example files with a free address for each one.
+func (s *system) copyExamples() {
+	names := []string{"platform.json", "entry-1.json", "entry-2.json", "agent-1.json", "agent-2.json", "agent-3.json", "routes-and-pools.json"}
+	for _, name := range names {
+		data, err := os.ReadFile(filepath.Join(examples, name))
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		words := strings.Split(string(data), `"`)
+		for i, word := range words {
+			if address, err := netip.ParseAddrPort(word); err == nil {
+				words[i] = s.free(address.String())
+			}
+		}
+		if err := os.WriteFile(filepath.Join(s.directory, name), []byte(strings.Join(words, `"`)), writeMode); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+}
+
+func (s *system) free(example string) string {
+	if address, ok := s.addresses[example]; ok {
+		return address
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	s.addresses[example] = listener.Addr().String()
+	return s.addresses[example]
+}
+
+func (s *system) startMinion(address string, number int) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	minion := emulator.NewMinion(emulator.MinionOptions{
+		Name: fmt.Sprintf("minion-%d", number+1), MeanService: meanService, Speed: float64(number + 1), Seed: 1,
+	})
+	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: minion}}
+	server.Start()
+	s.t.Cleanup(server.Close)
+	s.minions = append(s.minions, minion)
+}
+
+func (s *system) command(binary string, args ...string) *exec.Cmd {
+	c := exec.Command(filepath.Join(s.directory, binary), args...)
+	c.Dir = s.directory
+	return c
+}
+
+func (s *system) run(binary string, args ...string) {
+	s.t.Helper()
+	if output, err := s.command(binary, args...).CombinedOutput(); err != nil {
+		s.t.Fatalf("%s %v: %v\n%s", binary, args, err, output)
+	}
+}
+
+func (s *system) start(binary string, args ...string) *process {
+	s.t.Helper()
+	p := &process{
+		name:    strings.Join(append([]string{binary}, args...), " "),
+		command: s.command(binary, args...),
+		output:  &lockedBuffer{},
+		done:    make(chan struct{}),
+	}
+	p.command.Stdout, p.command.Stderr = p.output, p.output
+	if err := p.command.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	go func() {
+		defer close(p.done)
+		_ = p.command.Wait() // ProcessState tells how it ended.
+	}()
+	s.t.Cleanup(func() {
+		_ = p.command.Process.Kill() // It may have ended.
+		<-p.done
+		if s.t.Failed() {
+			s.t.Logf("%s:\n%s", p.name, p.output)
+		}
+	})
+	return p
+}
+
+func (s *system) await(what string, holds func() bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !holds() {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("waited in vain: %s", what)
+		}
+		time.Sleep(pollPause)
+	}
+}
+
+func (s *system) awaitListening(address string) {
+	s.t.Helper()
+	s.await(address+" listens", func() bool {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			return false
+		}
+		_ = conn.Close()
+		return true
+	})
+}
+
+// awaitReady waits until an entry is ready and knows all agents.
+func (s *system) awaitReady(number int) {
+	s.t.Helper()
+	s.await(fmt.Sprintf("entry-%d is ready", number+1), func() bool {
+		status, body := get("http://" + s.operators(number) + "/readyz")
+		return status == http.StatusOK && body == "ready\n" && s.agentsAt(number) == len(s.agents)
+	})
+}
+
+func (s *system) agentsAt(number int) int {
+	client := dialer.New(dialer.Options{})
+	defer client.Close()
+	service := agatevalvev1connect.NewEntryServiceClient(client, "http://"+s.addresses[fmt.Sprintf("127.0.0.1:80%d2", number+1)])
+	response, err := service.Status(context.Background(), connect.NewRequest(&v1.StatusRequest{}))
+	if err != nil {
+		return 0
+	}
+	return len(response.Msg.GetAgents())
+}
+
+func (s *system) callers(number int) string {
+	return s.addresses[fmt.Sprintf("127.0.0.1:80%d0", number+1)]
+}
+
+func (s *system) operators(number int) string {
+	return s.addresses[fmt.Sprintf("127.0.0.1:80%d1", number+1)]
+}
+
+// starts returns how often each task was started, over all minions.
+func (s *system) starts() map[string]int {
+	starts := make(map[string]int)
+	for _, m := range s.minions {
+		for id, count := range m.Starts() {
+			starts[id] += count
+		}
+	}
+	return starts
+}
+
+func get(url string) (int, string) {
+	response, err := http.Get(url)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return response.StatusCode, string(body)
+}
