--- a/historian/historian.go
+++ b/historian/historian.go
@@ -180,10 +180,12 @@
 	first := c.Revision + 1
 	var keys []tabler.Key
 	if snapshot {
-		// The snapshot's own revision row gives its digest.
-		first = c.Revision
 		keys = append(keys, SnapshotKey(c.Revision))
 	}
+	if last == c.Revision {
+		// Without a later one, the snapshot's own revision row gives the digest.
+		first = last
+	}
 	rows, err := readMap(ctx, h.table, keysBetween(keys, first, last, RevisionKey))
 	if err != nil {
 		return Configuration{}, err
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"agatevalve/common/fault"
+	"agatevalve/common/task"
 	"agatevalve/emulator"
 	"agatevalve/historian"
 	"agatevalve/publisher"
@@ -40,6 +41,9 @@
 	})
 }
 
+// teamName returns the name of a team.
+func teamName(i int) task.Team { return task.Team(fmt.Sprintf("team-%02d", i)) }
+
 func setPool(base uint64, p router.Pool) publisher.Edit {
 	change := historian.Change[router.Pool]{Name: p.Name, After: &p}
 	return publisher.Edit{Author: author, Base: base, Changes: historian.Changes{Pools: []historian.Change[router.Pool]{change}}}
