--- a/dispatcher/answers.go
+++ b/dispatcher/answers.go
@@ -20,6 +20,16 @@
 		"the idempotency key was used for another submission", "use a new key for new content", time.Time{})
 }
 
+// otherContent refuses a submission whose key this job has with other content.
+// Only a claim proves that the refused content never ran under the key.
+func (j *job) otherContent() Answer {
+	if j.claimed() && j.phase != phaseClaiming {
+		return keyReused()
+	}
+	return refuse(task.MayHaveRun, http.StatusConflict,
+		"another submission with the same idempotency key is under way", "use a new key for new content", time.Time{})
+}
+
 func stillOpen() Answer {
 	return refuse(task.MayHaveRun, http.StatusGatewayTimeout,
 		"the job had not ended by the deadline", "send it again with the same key to get its answer", time.Time{})
@@ -42,12 +52,38 @@
 	c.finish(j, refuse(outcome, http.StatusGatewayTimeout, reason, "send it again with a later deadline", time.Time{}))
 }
 
+// closeDue gives up on a claimed job of which nothing was sent, early enough
+// to prove that nothing ran.
+func (c *Core) closeDue(j *job) {
+	if j.phase != phaseRunning || j.verdict() != task.NotRun {
+		return
+	}
+	c.end(j, refuse(task.NotRun, http.StatusGatewayTimeout,
+		"no minion was free in time", "send it again with a later deadline", time.Time{}))
+}
+
+// end gives the job its answer. While this entry was cut off, another may have
+// taken a claimed job over and run it; so the claim is written once more before
+// its callers are told that it was not run.
+func (c *Core) end(j *job, answer Answer) {
+	if answer.Outcome != task.NotRun || !j.claimed() || j.phase != phaseRunning {
+		c.finish(j, answer)
+		return
+	}
+	c.stopUnits(j)
+	old := j.claim
+	j.phase = phaseClosing
+	j.answer = answer
+	j.claim = c.newClaim(j, old.Generation+1, old.Deadline)
+	c.emit(TakeClaim{Old: old, Claim: j.claim})
+}
+
 // finish gives the job its answer, stops what is still open, and replies.
 func (c *Core) finish(j *job, answer Answer) {
 	if j.phase == phaseDone {
 		return
 	}
-	settled := j.phase == phaseRunning
+	settled := j.phase == phaseRunning || j.phase == phaseClosing && answer.Outcome == task.NotRun
 	c.count(answer.Outcome)
 	c.stopUnits(j)
 	j.phase = phaseDone
@@ -97,9 +133,7 @@
 // keep holds the answer of a keyed job for resubmissions and drops all others.
 func (c *Core) keep(j *job, settled bool) {
 	if !j.keyed() || !settled {
-		if c.jobs[j.id] == j {
-			delete(c.jobs, j.id)
-		}
+		c.remove(j)
 		return
 	}
 	j.units = nil
@@ -128,9 +162,7 @@
 			break
 		}
 	}
-	if c.jobs[j.id] == j {
-		delete(c.jobs, j.id)
-	}
+	c.remove(j)
 }
 
 func sizeOf(a Answer) int {
--- a/dispatcher/claiming.go
+++ b/dispatcher/claiming.go
@@ -35,10 +35,14 @@
 // claimWon starts the job, or fences the former owner's agents first.
 func (c *Core) claimWon(claim Claim) {
 	j := c.jobs[claim.Job]
-	if j == nil || j.phase != phaseClaiming || j.claim.Token != claim.Token {
+	if j == nil || !j.claiming() || j.claim.Token != claim.Token {
 		return
 	}
 	j.claim = claim
+	if j.phase == phaseClosing {
+		c.finish(j, j.answer)
+		return
+	}
 	j.allowed = make(map[task.Process]bool, len(claim.Agents))
 	for _, a := range claim.Agents {
 		j.allowed[a.Process] = true
@@ -59,16 +63,22 @@
 	}
 }
 
+// claiming reports whether the job waits for the fate of a claim.
+func (j *job) claiming() bool { return j.phase == phaseClaiming || j.phase == phaseClosing }
+
 // claimHeld turns to the entry that owns the job.
 func (c *Core) claimHeld(claim Claim) {
 	j := c.jobs[claim.Job]
-	if j == nil || j.phase != phaseClaiming {
+	if j == nil || !j.claiming() {
 		return
 	}
 	if claim.Digest != j.submission.Digest || claim.Team != j.submission.Team {
 		c.finish(j, keyReused())
 		return
 	}
+	if j.phase == phaseClosing {
+		c.dropSends(j)
+	}
 	j.claim = claim
 	j.phase = phaseAsking
 	if claim.Owner == c.options.Self {
@@ -80,9 +90,10 @@
 
 func (c *Core) claimFailed(e ClaimFailed) {
 	j := c.jobs[e.Job]
-	if j == nil || j.phase != phaseClaiming {
+	if j == nil || !j.claiming() {
 		return
 	}
+	j.phase = phaseClaiming
 	c.finish(j, refuse(task.MayHaveRun, http.StatusServiceUnavailable,
 		"this submission was not run: "+e.Reason+"; an earlier one with its key may have been",
 		"send it again with the same key", time.Time{}))
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -58,6 +58,8 @@
 	out []Command
 	// jobs holds every live job and every kept answer.
 	jobs map[task.JobID]*job
+	// aliases maps the key-derived id of an unclaimed job to its id in jobs.
+	aliases map[task.JobID]task.JobID
 	// waiters holds every ticket that has not had its reply.
 	waiters map[Ticket]*waiter
 	// pools holds the queue of each pool that ever had work here.
@@ -105,6 +107,7 @@
 		options: o,
 		chooser: o.Chooser,
 		jobs:    make(map[task.JobID]*job),
+		aliases: make(map[task.JobID]task.JobID),
 		waiters: make(map[Ticket]*waiter),
 		pools:   make(map[string]*pool),
 		peers:   make(map[task.Process]*peer),
--- a/dispatcher/core_test.go
+++ b/dispatcher/core_test.go
@@ -220,3 +220,42 @@
 	replies := only[dispatcher.Reply](e.step(finished(again[0])))
 	is.Equal(replies[0].Answer.Outcome, task.Complete)
 }
+
+func TestNotRunIsConfirmedByTheStore(t *testing.T) {
+	is := is.New(t)
+	e := newEntry("one")
+	claims := only[dispatcher.WriteClaim](e.step(dispatcher.Submitted{Submission: e.submission("k", 1, false)}))
+	e.step(dispatcher.ClaimWon{Claim: claims[0].Claim})
+	e.now = e.now.Add(9800 * time.Millisecond)
+	commands := e.step(dispatcher.Tick{})
+	is.Equal(len(only[dispatcher.Reply](commands)), 0) // another entry may have taken it over
+	takes := only[dispatcher.TakeClaim](commands)
+	is.Equal(len(takes), 1)
+	other := takes[0].Claim
+	other.Owner = task.Process{Name: "two", Incarnation: 1}
+	is.Equal(len(only[dispatcher.AskOwner](e.step(dispatcher.ClaimHeld{Claim: other}))), 1)
+}
+
+func TestOtherContentUnderAnUnclaimedKeyIsNotCalledNotRun(t *testing.T) {
+	is := is.New(t)
+	e := newEntry("one")
+	e.step(dispatcher.Submitted{Submission: e.submission("k", 1, false)})
+	other := e.submission("k", 1, false)
+	other.Digest = task.Digest{1}
+	replies := only[dispatcher.Reply](e.step(dispatcher.Submitted{Submission: other}))
+	is.Equal(replies[0].Answer.Outcome, task.MayHaveRun) // it may have run through another entry
+}
+
+func TestRefusedContentDoesNotTakeItsKey(t *testing.T) {
+	is := is.New(t)
+	e := newEntry("one")
+	other := e.submission("k", 1, false)
+	other.Digest = task.Digest{1}
+	e.step(dispatcher.Submitted{Submission: other})
+	held := dispatcher.Claim{Job: other.Job, Team: "climbs", Generation: 1, Deadline: e.now.Add(time.Second)}
+	replies := only[dispatcher.Reply](e.step(dispatcher.ClaimHeld{Claim: held}))
+	is.Equal(replies[0].Answer.Outcome, task.NotRun)
+	commands := e.step(dispatcher.Submitted{Submission: e.submission("k", 1, false)})
+	is.Equal(len(only[dispatcher.Reply](commands)), 0) // the key belongs to this content
+	is.Equal(len(only[dispatcher.WriteClaim](commands)), 1)
+}
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -32,7 +32,8 @@
 	// rank orders the job within its team.
 	rank time.Time
 	// bytes sums the responses so far.
-	bytes  int
+	bytes int
+	// answer is set in phaseDone, and is the planned one in phaseClosing.
 	answer Answer
 	// expires is when a kept answer is dropped.
 	expires time.Time
@@ -49,6 +50,9 @@
 	phaseFencing
 	// phaseRunning sends tasks and takes results.
 	phaseRunning
+	// phaseClosing waits for the store's word that no other entry has taken the
+	// job, before its callers are told that it was not run.
+	phaseClosing
 	// phaseDone has an answer.
 	phaseDone
 )
@@ -161,9 +165,13 @@
 	return false
 }
 
-// verdict returns what is known of a job that ends without all responses.
+// verdict returns what is known of a job that ends without all responses. A
+// keyed job without a claim may have run at another entry.
 func (j *job) verdict() task.Outcome {
 	outcome := task.NotRun
+	if j.keyed() && !j.claimed() {
+		outcome = task.MayHaveRun
+	}
 	for i := range j.units {
 		u := &j.units[i]
 		if u.uncertain || (!u.done && len(u.sends) > 0) {
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -61,7 +61,7 @@
 			continue
 		}
 		if c.doomed(j) {
-			c.finish(j, refuse(j.verdict(), http.StatusGatewayTimeout,
+			c.end(j, refuse(j.verdict(), http.StatusGatewayTimeout,
 				"a task can't be answered before the deadline", "send it again with a later deadline", time.Time{}))
 			continue
 		}
--- a/dispatcher/submitting.go
+++ b/dispatcher/submitting.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"encoding/binary"
 	"net/http"
 	"time"
 
@@ -12,6 +13,10 @@
 // replyMargin is how long before a deadline the reply leaves the core.
 const replyMargin = 10 * time.Millisecond
 
+// closeMargin is how long before its deadline a claimed job of which nothing
+// was sent is given up, so that the store can confirm it.
+const closeMargin = 250 * time.Millisecond
+
 // pool is the queue of one pool at this entry.
 type pool struct {
 	name  string
@@ -28,7 +33,7 @@
 
 func (c *Core) submit(s Submission) {
 	c.counters.Submitted++
-	if j := c.jobs[s.Job]; j != nil && !c.restartable(j, s) {
+	if j := c.known(s); j != nil && !c.restartable(j, s) {
 		c.join(j, s)
 		return
 	}
@@ -36,8 +41,8 @@
 		c.emit(Reply{Ticket: s.Ticket, Known: true, Answer: refusal})
 		return
 	}
-	j := newJob(s.Job, s)
-	c.jobs[s.Job] = j
+	j := newJob(c.runID(s), s)
+	c.jobs[j.id] = j
 	c.addWaiter(j, &waiter{ticket: s.Ticket, job: j, deadline: s.Deadline})
 	c.wake(timer{at: s.Deadline.Add(-replyMargin), kind: timerJob, job: j})
 	c.line(j)
@@ -45,10 +50,50 @@
 		c.start(j)
 		return
 	}
+	c.planClose(j)
 	j.claim = c.newClaim(j, 1, s.Deadline)
 	c.emit(WriteClaim{Claim: j.claim})
 }
 
+// planClose leaves time to prove that a job was not run.
+func (c *Core) planClose(j *job) {
+	left := j.submission.Deadline.Sub(c.now)
+	margin := min(closeMargin, left/2)
+	c.wake(timer{at: j.submission.Deadline.Add(-margin), kind: timerClose, job: j})
+}
+
+// known returns the job of an earlier submission with the same key, or nil.
+func (c *Core) known(s Submission) *job {
+	if id, ok := c.aliases[s.Job]; ok {
+		return c.jobs[id]
+	}
+	return c.jobs[s.Job]
+}
+
+// runID returns the id under which agents see the job. A keyed job without a
+// claim may run at two entries at once, with different content, so each run
+// has an id of its own.
+func (c *Core) runID(s Submission) task.JobID {
+	if s.Key == "" || !s.Plan.Route.Idempotent {
+		return s.Job
+	}
+	var id task.JobID
+	binary.LittleEndian.PutUint64(id[:8], c.options.Random.Uint64())
+	binary.LittleEndian.PutUint64(id[8:], c.options.Random.Uint64())
+	c.aliases[s.Job] = id
+	return id
+}
+
+// remove forgets a job.
+func (c *Core) remove(j *job) {
+	if c.jobs[j.id] == j {
+		delete(c.jobs, j.id)
+	}
+	if c.aliases[j.submission.Job] == j.id {
+		delete(c.aliases, j.submission.Job)
+	}
+}
+
 // restartable reports whether a kept answer must not stop a new run: the job
 // is idempotent and did not complete.
 func (c *Core) restartable(j *job, s Submission) bool {
@@ -60,7 +105,7 @@
 func (c *Core) join(j *job, s Submission) {
 	c.counters.Joined++
 	if j.submission.Digest != s.Digest {
-		c.emit(Reply{Ticket: s.Ticket, Known: true, Answer: keyReused()})
+		c.emit(Reply{Ticket: s.Ticket, Known: true, Answer: j.otherContent()})
 		return
 	}
 	if j.phase == phaseDone && j.answer.Outcome == task.NotRun && j.claimed() {
@@ -90,6 +135,7 @@
 	c.addWaiter(j, &waiter{ticket: s.Ticket, job: j, deadline: s.Deadline})
 	c.wake(timer{at: s.Deadline.Add(-replyMargin), kind: timerJob, job: j})
 	c.line(j)
+	c.planClose(j)
 	j.claim = c.newClaim(j, done.claim.Generation+1, s.Deadline)
 	c.emit(TakeClaim{Old: done.claim, Claim: j.claim})
 }
@@ -185,7 +231,7 @@
 		return
 	}
 	if j.submission.Digest != e.Digest {
-		c.emit(Reply{Ticket: e.Ticket, Known: true, Answer: keyReused()})
+		c.emit(Reply{Ticket: e.Ticket, Known: true, Answer: j.otherContent()})
 		return
 	}
 	if j.phase == phaseDone {
--- a/dispatcher/timers.go
+++ b/dispatcher/timers.go
@@ -27,6 +27,8 @@
 const (
 	// timerJob ends a job at its deadline.
 	timerJob timerKind = iota
+	// timerClose gives up a claimed job of which nothing was sent.
+	timerClose
 	// timerWaiter answers a caller whose deadline is earlier than the job's.
 	timerWaiter
 	// timerAnswer drops an answer that was kept long enough.
@@ -55,6 +57,8 @@
 	switch t.kind {
 	case timerJob:
 		c.jobDue(t.job)
+	case timerClose:
+		c.closeDue(t.job)
 	case timerWaiter:
 		c.waiterDue(t.ticket)
 	case timerAnswer:
