--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -1,9 +1,13 @@
 package follower_test
 
 import (
+	"bytes"
 	"context"
+	"io"
+	"log/slog"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -57,8 +61,12 @@
 	change()
 }
 
-func start(s *source) *follower.Follower {
-	return follower.New(follower.Options{Source: s, Random: rand.New(rand.NewPCG(1, 1))})
+func start(s *source) *follower.Follower { return startLogged(s, io.Discard) }
+
+func startLogged(s *source, log io.Writer) *follower.Follower {
+	return follower.New(follower.Options{
+		Source: s, Random: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.NewTextHandler(log, nil)),
+	})
 }
 
 func after(d time.Duration) {
@@ -87,13 +95,15 @@
 func TestNeverGoesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
+		var log bytes.Buffer
 		s := &source{head: 3}
-		f := start(s)
+		f := startLogged(s, &log)
 		defer f.Close()
 		synctest.Wait()
 		s.set(func() { s.head = 2 })
 		after(10 * time.Second)
 		is.Equal(f.Revision(), uint64(3))
+		is.True(strings.Contains(log.String(), "The store went back"))
 		s.set(func() { s.head = 5 })
 		after(2 * time.Second)
 		is.Equal(f.Revision(), uint64(5))
@@ -161,12 +171,14 @@
 func TestRefusedRevisionIsNotSwappedIn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
+		var log bytes.Buffer
 		s := &source{head: 3}
-		f := start(s)
+		f := startLogged(s, &log)
 		defer f.Close()
 		synctest.Wait()
 		s.set(func() { s.head, s.bad = 4, 4 })
 		after(10 * time.Second)
+		is.Equal(strings.Count(log.String(), "A revision is refused here"), 1)
 		is.Equal(f.Revision(), uint64(3))
 		is.True(f.Stale())
 		is.True(!f.Ready())
