receiver: Bound what waiting bodies and slow callers hold

Cause: bodies of waiting submissions were bounded one by one but not in sum, and a caller that reads slowly held its answer for ever. Ruled out: a cap on connections, which says little about memory. Change: bodies in flight are capped in sum, and a refusal proves that nothing ran; each answer's transfer ends after a minute; ends are logged under the job's id; a start whose deadline passed while it waited for its link is refused as unsent. Conclusion: the receiver's memory has a bound.

--- a/linker/writer.go
+++ b/linker/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"agatevalve/common/task"
 	"agatevalve/dispatcher"
@@ -113,17 +114,18 @@
 	return true
 }
 
-// frames maps orders to frames of bounded size. A start that was cancelled
-// before it was written is refused and not sent.
+// frames maps orders to frames of bounded size. A start that was cancelled or
+// whose deadline passed before it was written is refused and not sent.
 func (k *link) frames(orders []order) []*v1.EntryFrame {
 	withdrawn := cancelled(orders)
+	now := time.Now()
 	var frames []*v1.EntryFrame
 	var started []*task.Start
 	frame, size := &v1.EntryFrame{}, 0
 	for _, o := range orders {
 		switch o.kind {
 		case startOrder:
-			if withdrawn[attempt{o.start.Task, o.start.Attempt}] {
+			if withdrawn[attempt{o.start.Task, o.start.Attempt}] || !o.start.Deadline.After(now) {
 				k.refuse(o.start)
 				continue
 			}
--- a/receiver/answer.go
+++ b/receiver/answer.go
@@ -37,6 +37,7 @@
 		c.refuse(w, p)
 		return
 	}
+	boundWrite(w)
 	if !sub.job {
 		writeResponse(w, r, answer.Responses[0])
 		return
--- a/receiver/problem.go
+++ b/receiver/problem.go
@@ -44,6 +44,7 @@
 
 func (c *Receiver) refuse(w http.ResponseWriter, p *problem) {
 	c.refused.Inc(1)
+	boundWrite(w)
 	if p.status == http.StatusRequestEntityTooLarge {
 		// The rest of the body is unread, so the connection can't go on.
 		w.Header().Set("Connection", "close")
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -29,6 +30,10 @@
 	replyMarginPart = 10
 	// longestRead bounds the transfer of a request's body.
 	longestRead = 30 * time.Second
+	// longestWrite bounds the transfer of an answer.
+	longestWrite = time.Minute
+	// DefaultHeldBytes caps the bodies of all submissions in flight.
+	DefaultHeldBytes = 512 << 20
 	// unknownRetry is the Retry-After of a refusal that passes soon.
 	unknownRetry = time.Second
 )
@@ -50,13 +55,18 @@
 	Table func() *router.Table
 	// Stopping reports whether callers should connect elsewhere.
 	Stopping func() bool
-	Log      *slog.Logger
-	Metrics  metrics.Registry
+	// HeldBytes caps the bodies of all submissions in flight; 0 takes the
+	// default.
+	HeldBytes int
+	Log       *slog.Logger
+	Metrics   metrics.Registry
 }
 
 // Receiver is the handler of the callers' listener.
 type Receiver struct {
-	o        Options
+	o Options
+	// held sums the bodies of the submissions in flight.
+	held     atomic.Int64
 	requests metrics.Counter
 	jobs     metrics.Counter
 	refused  metrics.Counter
@@ -70,6 +80,9 @@
 	if o.Stopping == nil {
 		o.Stopping = func() bool { return false }
 	}
+	if o.HeldBytes == 0 {
+		o.HeldBytes = DefaultHeldBytes
+	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
@@ -94,7 +107,15 @@
 	if c.o.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
-	sub, refusal := c.read(w, r, began)
+	sub := submission{Submission: dispatcher.Submission{Job: task.RandomJobID()}}
+	w.Header().Set(headerJob, sub.Job.String())
+	release, ok := c.hold(r)
+	defer release()
+	if !ok {
+		c.refuse(w, refusalOf(overloaded(began)))
+		return
+	}
+	refusal := c.read(w, r, &sub, began)
 	w.Header().Set(headerJob, sub.Job.String())
 	if refusal != nil {
 		c.refuse(w, refusal)
@@ -108,10 +129,39 @@
 		c.left.Inc(1)
 		return
 	}
+	c.note(sub, reply.Answer)
 	c.write(w, r, sub, reply.Answer)
 	c.answers.UpdateSince(began)
 }
 
+// hold reserves memory for a request's body. It reports false when the
+// submissions in flight hold too much; release may be called in any case.
+func (c *Receiver) hold(r *http.Request) (release func(), ok bool) {
+	size := r.ContentLength
+	if size < 0 || size > int64(c.o.Limits.BodyBytes) {
+		size = int64(c.o.Limits.BodyBytes)
+	}
+	release = func() { c.held.Add(-size) }
+	return release, c.held.Add(size) <= int64(c.o.HeldBytes)
+}
+
+// boundWrite bounds the transfer of an answer. The bound outlives the answer, so
+// each one sets it anew.
+func boundWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(longestWrite)) // Without support a slow caller waits longer.
+}
+
+// note logs the end of a submission under the id that agents and other entries
+// log too.
+func (c *Receiver) note(sub submission, answer dispatcher.Answer) {
+	level := slog.LevelDebug
+	if answer.Outcome == task.Failed || answer.Outcome == task.MayHaveRun {
+		level = slog.LevelWarn
+	}
+	c.o.Log.Log(context.Background(), level, "receiver: Answered", "job", sub.Job, "team", sub.Team, "route", sub.Plan.Route.Name,
+		"tasks", len(sub.Tasks), "outcome", answer.Outcome, "reason", answer.Reason)
+}
+
 // submission is a submission beside what its answer depends on.
 type submission struct {
 	dispatcher.Submission
@@ -122,28 +172,26 @@
 	callerDeadline time.Time
 }
 
-// read checks a request and returns what to submit, or a refusal. The job's id
-// is set in both cases.
-func (c *Receiver) read(w http.ResponseWriter, r *http.Request, now time.Time) (submission, *problem) {
-	sub := submission{Submission: dispatcher.Submission{Job: task.RandomJobID()}}
-	if refusal := c.readHeader(r, &sub); refusal != nil {
-		return sub, refusal
+// read checks a request and fills in what to submit, or returns a refusal.
+func (c *Receiver) read(w http.ResponseWriter, r *http.Request, sub *submission, now time.Time) *problem {
+	if refusal := c.readHeader(r, sub); refusal != nil {
+		return refusal
 	}
 	table := c.o.Table()
 	if table == nil {
 		p := notRun(http.StatusServiceUnavailable, "no-configuration", "the entry has no configuration yet", "try again soon or at another entry")
 		p.retryAt = now.Add(unknownRetry)
-		return sub, p
+		return p
 	}
 	plan, refusal := match(table, r)
 	if refusal != nil {
-		return sub, refusal
+		return refusal
 	}
 	sub.Plan = plan
-	if refusal := c.readDeadline(r, &sub, now); refusal != nil {
-		return sub, refusal
+	if refusal := c.readDeadline(r, sub, now); refusal != nil {
+		return refusal
 	}
-	return sub, c.readContent(w, r, &sub)
+	return c.readContent(w, r, sub)
 }
 
 func match(table *router.Table, r *http.Request) (router.Plan, *problem) {
