commands: Submit a job from a file

Cause: operators and scripts need to send a job and to know what its end means. Ruled out: a plain HTTP client in each script, which would have to resend by itself and to read outcomes. Change: submit sends a file under a key, again after a lost connection, tells its progress on stderr, and maps outcomes to the exit codes. The demonstration's idempotent route takes every method. A keyed job that comes before the entry knows any agent is claimed for no agent and answered 504 not-run at its deadline, although agents join; the script waits for the first agent by a job on an idempotent route.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -25,6 +25,7 @@
 
 	Serve    ServeCommand    `cmd:"" help:"Run an entry."`
 	Demo     DemoCommand     `cmd:"" help:"Run a whole small system in one process, to try it."`
+	Submit   SubmitCommand   `cmd:"" help:"Send a job from a file and print its answer."`
 	Platform PlatformCommand `cmd:"" help:"Run a stand-in of the platform's table service, for trials."`
 
 	Routes   RoutesCommand   `cmd:"" help:"Show and edit the table of routes."`
@@ -36,6 +37,7 @@
 	Drain    DrainCommand    `cmd:"" help:"Keep new tasks from a minion, or from all minions of a worker."`
 	Undrain  UndrainCommand  `cmd:"" help:"Let a drained minion or worker take tasks again."`
 	Settings SettingsCommand `cmd:"" help:"Check settings files."`
+	Measure  MeasureCommand  `cmd:"" help:"Measure how tasks are placed under load and faults."`
 	Version  VersionCommand  `cmd:"" help:"Show the version."`
 }
 
--- /dev/null
+++ b/commands/submit.go
@@ -0,0 +1,213 @@
+package commands
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"agatevalve/common/fault"
+)
+
+const (
+	submitMediaType = "application/vnd.agatevalve.job+json"
+	// largestJob caps a job file, in bytes; entries have limits of their own.
+	largestJob = 256 << 20
+	// largestAnswer caps an answer, in bytes.
+	largestAnswer = 1 << 30
+	// submitProgressEvery is the pause between two lines of progress.
+	submitProgressEvery = 2 * time.Second
+	// submitGrace is how long after the deadline an answer may still arrive.
+	submitGrace = time.Second
+)
+
+// SubmitCommand sends a job and prints its answer.
+type SubmitCommand struct {
+	File     string         `arg:"" help:"Job file (JSON): {\"tasks\":[{\"method\":\"POST\",\"path\":\"/holds/1\",\"body\":\"text\"}]}; - reads standard input."`
+	Entry    netip.AddrPort `help:"Address of an entry's listener for callers." required:"" placeholder:"IP:PORT"`
+	Path     string         `help:"Path of the job, which the routes match; tasks without a path get it." required:""`
+	Host     string         `help:"Host of the job, which the routes match."`
+	Team     string         `help:"Team that the job counts for."`
+	Key      string         `help:"Idempotency key: the same key and file give the same answer and run nothing twice. A new one is made and printed when absent."`
+	Deadline time.Time      `help:"Absolute deadline in RFC 3339, such as 2026-01-02T15:04:05Z; the entry's default when absent."`
+}
+
+// Run sends the job until an entry has answered. The key makes it safe to send
+// it again after a lost connection.
+func (s *SubmitCommand) Run(c *console) error {
+	if !s.Deadline.IsZero() && !s.Deadline.After(time.Now()) {
+		return fault.New(fault.Invalid, "name a time ahead, and check the clock", "the deadline %s has passed", s.Deadline.Format(time.RFC3339))
+	}
+	body, err := readJob(s.File)
+	if err != nil {
+		return err
+	}
+	if s.Key == "" {
+		s.Key = string(newToken())
+	}
+	ctx, cancel := s.context(c)
+	defer cancel()
+	c.note("submit: Sent %d bytes under key %s", len(body), s.Key)
+	stop := c.progress(s.Deadline)
+	answer, err := s.send(ctx, c, body)
+	stop()
+	if err != nil {
+		return err
+	}
+	c.note("submit: Job %s was answered with %s", answer.job, http.StatusText(answer.status))
+	if answer.status == http.StatusOK {
+		return c.print("%s", answer.body)
+	}
+	return answer.fault()
+}
+
+// context ends a little after the deadline, or at an interrupt.
+func (s *SubmitCommand) context(c *console) (context.Context, context.CancelFunc) {
+	if s.Deadline.IsZero() {
+		return c.context()
+	}
+	limited := *c
+	limited.root.Timeout = time.Until(s.Deadline) + submitGrace
+	return limited.context()
+}
+
+func readJob(path string) ([]byte, error) {
+	const remedy = "name a job file that can be read"
+	in := io.Reader(os.Stdin)
+	if path != "-" {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, fault.Wrap(err, fault.NotFound, remedy, "job file %s", path)
+		}
+		defer func() { _ = file.Close() }() // It was only read.
+		in = file
+	}
+	body, err := io.ReadAll(io.LimitReader(in, largestJob+1))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.NotFound, remedy, "job file %s", path)
+	}
+	if len(body) > largestJob {
+		return nil, fault.New(fault.TooLarge, "split the job", "the job has more than %d bytes", largestJob)
+	}
+	return body, nil
+}
+
+// progress prints how long the job has been waited for, until stopped.
+func (c *console) progress(deadline time.Time) (stop func()) {
+	done, ended := make(chan struct{}), make(chan struct{})
+	began := time.Now()
+	go func() {
+		defer close(ended)
+		ticker := time.NewTicker(submitProgressEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case now := <-ticker.C:
+				text := fmt.Sprintf("submit: Waited %s", now.Sub(began).Round(time.Second))
+				if !deadline.IsZero() {
+					text += fmt.Sprintf(", deadline in %s", deadline.Sub(now).Round(time.Second))
+				}
+				c.note("%s", text)
+			}
+		}
+	}()
+	return func() {
+		close(done)
+		<-ended
+	}
+}
+
+// submitAnswer is what an entry answered.
+type submitAnswer struct {
+	status int
+	job    string
+	body   []byte
+}
+
+// send repeats a job whose connection broke, until ctx ends. Once a try may have
+// reached an entry, failing to connect later proves nothing.
+func (s *SubmitCommand) send(ctx context.Context, c *console, body []byte) (submitAnswer, error) {
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	var uncertain error
+	for {
+		answer, err := s.sendOnce(ctx, client, body)
+		if err == nil {
+			return answer, nil
+		}
+		if fault.KindOf(err) == fault.Uncertain {
+			uncertain = err
+		}
+		if fault.KindOf(err) == fault.Invalid || pause(ctx) != nil {
+			return submitAnswer{}, cmp.Or(uncertain, err)
+		}
+	}
+}
+
+func (s *SubmitCommand) sendOnce(ctx context.Context, client *http.Client, body []byte) (submitAnswer, error) {
+	url := "http://" + s.Entry.String() + s.Path
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return submitAnswer{}, fault.Wrap(err, fault.Invalid, "write a path such as /holds", "path %s", s.Path)
+	}
+	request.Host = s.Host
+	request.Header.Set("Content-Type", submitMediaType)
+	request.Header.Set("Idempotency-Key", s.Key)
+	if s.Team != "" {
+		request.Header.Set("Agatevalve-Team", s.Team)
+	}
+	if !s.Deadline.IsZero() {
+		request.Header.Set("Agatevalve-Deadline", s.Deadline.Format(time.RFC3339Nano))
+	}
+	remedy := "submit the same file again with --key " + s.Key
+	response, err := client.Do(request)
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return submitAnswer{}, fault.Wrap(err, fault.Unavailable, "check that the entry runs and is reachable", "send to %s", url)
+	}
+	if err != nil {
+		return submitAnswer{}, fault.Wrap(err, fault.Uncertain, remedy, "send to %s", url)
+	}
+	defer func() { _ = response.Body.Close() }() // The body was read whole.
+	content, err := io.ReadAll(io.LimitReader(response.Body, largestAnswer))
+	if err != nil {
+		return submitAnswer{}, fault.Wrap(err, fault.Uncertain, remedy, "the answer was cut")
+	}
+	return submitAnswer{response.StatusCode, response.Header.Get("Agatevalve-Job"), content}, nil
+}
+
+type wireProblem struct {
+	Detail  string `json:"detail"`
+	Outcome string `json:"outcome"`
+	Remedy  string `json:"remedy"`
+}
+
+// fault maps a refusal or failure, so that the exit code tells its outcome.
+func (a submitAnswer) fault() error {
+	var p wireProblem
+	if err := json.Unmarshal(a.body, &p); err != nil || p.Outcome == "" || p.Remedy == "" {
+		return errors.Join(fault.New(fault.Uncertain, "check that the address is that of an entry's callers", "the answer with status %d is no entry's", a.status), err)
+	}
+	kind := fault.Uncertain
+	switch {
+	case p.Outcome == "not-run" && a.status == http.StatusUnprocessableEntity:
+		kind = fault.Conflict
+	case p.Outcome == "not-run" && a.status < http.StatusInternalServerError && a.status != http.StatusTooManyRequests:
+		kind = fault.Invalid
+	case p.Outcome == "not-run":
+		kind = fault.Unavailable
+	case p.Outcome == "failed":
+		kind = fault.Internal
+	}
+	return fault.New(kind, p.Remedy, "%s (status %d): %s", p.Outcome, a.status, p.Detail)
+}
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -161,7 +161,7 @@
 	changes := historian.Diff(historian.Configuration{}, historian.Configuration{
 		Routes: []router.Route{
 			{Name: "holds", PathPrefix: "/holds", Pool: poolName},
-			{Name: "waivers", PathPrefix: "/waivers", Method: http.MethodGet, Pool: poolName, Idempotent: true},
+			{Name: "waivers", PathPrefix: "/waivers", Pool: poolName, Idempotent: true},
 		},
 		Pools: []router.Pool{{Name: poolName, SlotsPerMinion: slots}},
 	})
