claimer: Prove a lost reply over HTTP, and the sweeper's return

The parts were proved apart; one test now joins claimer, client and handler, and one lets a sweeper run past the retention in a bubble's time.

--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http/httptest"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +13,7 @@
 
 	"agatevalve/claimer"
 	"agatevalve/common/fault"
+	"agatevalve/connector"
 	"agatevalve/dispatcher"
 	"agatevalve/emulator"
 	"agatevalve/tabler"
@@ -56,6 +59,25 @@
 	})
 }
 
+func TestLostReplyOverHTTPIsWonOnce(t *testing.T) {
+	is := is.New(t)
+	table := emulator.NewTable(emulator.Options{})
+	server := httptest.NewServer(emulator.Handler(table))
+	defer server.Close()
+	client := connector.New(connector.Options{Store: netip.MustParseAddrPort(server.Listener.Addr().String())})
+	defer client.Close()
+	is.NoErr(table.SetFault(emulator.Fault{Kind: emulator.LoseReplies, On: emulator.Writes, Count: 1}))
+	c, events := start(client, 1)
+	claims := []dispatcher.Claim{claimOf(0, 1, 7, in(time.Hour)), claimOf(0, 2, 8, in(time.Hour))}
+	is.True(c.Insert(dispatcher.WriteClaim{Claim: claims[0]}))
+	is.Equal(<-events, dispatcher.ClaimWon{Claim: claims[0]})
+	is.True(c.Insert(dispatcher.WriteClaim{Claim: claims[1]}))
+	is.Equal(<-events, dispatcher.ClaimWon{Claim: claims[1]})
+	c.Close()
+	is.Equal(len(events), 0)
+	is.Equal(table.Counts().Conflicts, 0)
+}
+
 func TestLateWriteOfALostCallIsWonOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/claimer/sweep_test.go
+++ b/claimer/sweep_test.go
@@ -1,6 +1,7 @@
 package claimer_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,6 +52,27 @@
 	})
 }
 
+func TestSweeperComesBackForOldClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := emulator.NewTable(emulator.Options{})
+		sweeper := claimer.NewSweeper(table, rand.New(rand.NewPCG(1, 1)), nil)
+		c, events := start(table, 1)
+		defer c.Close()
+		is.True(c.Insert(dispatcher.WriteClaim{Claim: claimOf(0, 1, 1, in(time.Hour))}))
+		is.True(won(<-events))
+		time.Sleep(claimer.Retention + 59*time.Minute)
+		rows, err := table.Scan(t.Context(), tabler.Claims, "")
+		is.NoErr(err)
+		is.Equal(len(rows), 1)
+		time.Sleep(10 * time.Minute)
+		rows, err = table.Scan(t.Context(), tabler.Claims, "")
+		is.NoErr(err)
+		is.Equal(len(rows), 0)
+		sweeper.Close()
+	})
+}
+
 func TestOneSweeperWorksAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/connector/encoder/message.go
+++ b/connector/encoder/message.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 
 	"agatevalve/common/fault"
 	"agatevalve/tabler"
@@ -186,9 +187,12 @@
 // EncodeFault returns the body of a refusal. It sends the kind, the text and
 // the remedy of the first fault in the chain of err.
 func EncodeFault(err error) []byte {
-	body, _ := json.Marshal(wireFault{ // Strings always marshal.
-		Kind: fault.KindOf(err).String(), Text: err.Error(), Remedy: fault.RemedyOf(err),
-	})
+	refusal := wireFault{Kind: fault.Internal.String(), Text: err.Error(), Remedy: "report this"}
+	var first *fault.Error
+	if errors.As(err, &first) {
+		refusal = wireFault{Kind: first.Kind.String(), Text: first.Text, Remedy: first.Remedy}
+	}
+	body, _ := json.Marshal(refusal) // Strings always marshal.
 	return body
 }
 
--- a/connector/encoder/message_test.go
+++ b/connector/encoder/message_test.go
@@ -30,6 +30,7 @@
 		is.True(ok)
 		is.Equal(refusal.Kind, kind)
 		is.Equal(refusal.Remedy, "wait")
+		is.Equal(refusal.Error(), "the table service refused: busy; wait") // The remedy stands once.
 	}
 }
 
