linker: Send plain frames, and take a long frame for life

Cause: connect's client asks for compressed answers by itself, so that each small frame of an agent was compressed; and a frame that took longer than the silence limit to arrive broke a good link. Ruled out: a longer silence limit, which every silent link would pay. Change: our clients accept no compression; a link whose connection has brought 4 KiB since the probe isn't silent.

--- a/dialer/client.go
+++ b/dialer/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"agatevalve/common/fault"
@@ -42,6 +43,22 @@
 	conn   net.Conn
 	closed bool
 	dialer net.Dialer
+	// received counts the bytes that the connection brought.
+	received atomic.Uint64
+}
+
+// countingConn counts the bytes that are read.
+type countingConn struct {
+	net.Conn
+
+	received *atomic.Uint64
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(uint64(n))
+	return n, err
 }
 
 // New returns a client that connects at its first call.
@@ -65,6 +82,9 @@
 	return c
 }
 
+// Received returns how many bytes the connection has brought.
+func (c *Client) Received() uint64 { return c.received.Load() }
+
 // Close cuts the connection and all calls on it. It may be called twice.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -90,7 +110,7 @@
 		return nil, errClosed()
 	}
 	c.conn = conn
-	return conn, nil
+	return &countingConn{Conn: conn, received: &c.received}, nil
 }
 
 func (c *Client) reserve() error {
--- a/greeter/asker.go
+++ b/greeter/asker.go
@@ -124,7 +124,7 @@
 	client := dialer.New(dialer.Options{PingAfter: ownerSilence, PongWithin: ownerSilence})
 	defer client.Close()
 	owner := agatevalvev1connect.NewEntryServiceClient(
-		client, "http://"+q.Claim.OwnerAddress.String(), connect.WithReadMaxBytes(a.o.AnswerBytes),
+		client, "http://"+q.Claim.OwnerAddress.String(), connect.WithReadMaxBytes(a.o.AnswerBytes), dialer.Plain(),
 	)
 	request := encoder.FetchToWire(q.Claim.Owner, dispatcher.Asked{
 		Team:     q.Claim.Team,
--- a/linker/inquiry.go
+++ b/linker/inquiry.go
@@ -108,7 +108,7 @@
 	client := dialer.New(dialer.Options{PingAfter: answerSilence, PongWithin: answerSilence})
 	defer client.Close()
 	agent := agatevalvev1connect.NewAgentServiceClient(
-		client, "http://"+peer.Address.String(), connect.WithReadMaxBytes(l.o.MessageBytes),
+		client, "http://"+peer.Address.String(), connect.WithReadMaxBytes(l.o.MessageBytes), dialer.Plain(),
 	)
 	err := call(ctx, agent)
 	if err != nil {
--- a/linker/link.go
+++ b/linker/link.go
@@ -21,6 +21,10 @@
 	errReplaced = errors.New("a frame of another process came")
 )
 
+// livelyBytes tell a frame that takes long from the small change of the
+// connection itself.
+const livelyBytes = 4 << 10
+
 type stream = connect.BidiStreamForClient[v1.EntryFrame, v1.AgentFrame]
 
 // link is one stream to one run of an agent. Its writer, reader and watcher
@@ -59,7 +63,7 @@
 	ctx, cancel := context.WithCancelCause(l.ctx)
 	client := dialer.New(dialer.Options{})
 	service := agatevalvev1connect.NewAgentServiceClient(
-		client, "http://"+peer.Address.String(), connect.WithReadMaxBytes(l.o.MessageBytes),
+		client, "http://"+peer.Address.String(), connect.WithReadMaxBytes(l.o.MessageBytes), dialer.Plain(),
 	)
 	now := time.Now()
 	k := &link{
@@ -131,6 +135,7 @@
 func (k *link) watch() {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	received := uint64(0)
 	for {
 		select {
 		case <-k.ctx.Done():
@@ -144,10 +149,16 @@
 		switch result {
 		case wait:
 		case probe:
+			received = k.client.Received()
 			signal(k.pingDue)
 		case silent:
-			k.fail(errSilent)
-			return
+			if k.client.Received()-received < livelyBytes {
+				k.fail(errSilent)
+				return
+			}
+			// A long frame is on its way.
+			k.progress.saw(now)
+			next = now
 		}
 		timer.Reset(next.Sub(now))
 	}
