commands: Ask processes over HTTP/2, and work while the store is down

Cause: a script with a real entry and agent showed that drain failed each time (three of three runs): agents take HTTP/2 without TLS only, and the command sent HTTP/1.1; the stand-in of the tests took both. During an outage of the store, status and drain could not find the entries. Ruled out: HTTP/1.1 at the agents for operators alone (a second protocol to test).

--- a/commands/console.go
+++ b/commands/console.go
@@ -151,7 +151,7 @@
 	if remedy == "" {
 		remedy = "report this with the command line"
 	}
-	text := strings.TrimSuffix(err.Error(), "; "+remedy)
+	text := describe(err)
 	if c.json() {
 		encoder := json.NewEncoder(c.stderr)
 		encoder.SetEscapeHTML(false)
@@ -162,6 +162,11 @@
 	return code
 }
 
+// describe returns what went wrong, without the remedy.
+func describe(err error) string {
+	return strings.TrimSuffix(err.Error(), "; "+fault.RemedyOf(err))
+}
+
 func exitCode(err error) int {
 	switch fault.KindOf(err) {
 	case fault.Invalid, fault.NotFound, fault.TooLarge, fault.Denied:
--- a/commands/drain.go
+++ b/commands/drain.go
@@ -12,6 +12,7 @@
 // target holds the flags that name minions by their agents.
 type target struct {
 	author
+	entryFlags
 	Agent  string `arg:"" optional:"" help:"Name of the agent beside the minion."`
 	Worker string `help:"Name of a worker, for all its minions."`
 	// Unrecorded lets operators act while the store can't take the audit row.
@@ -44,9 +45,7 @@
 		return fault.New(fault.Invalid, "name an agent, or a worker with --worker", "one target is needed")
 	}
 	return c.withStore(func(ctx context.Context, s *store) error {
-		f := newFleet()
-		defer f.close()
-		views, err := f.entries(ctx, s)
+		views, err := askEntries(ctx, s, t.Entry)
 		if err != nil {
 			return err
 		}
@@ -57,7 +56,7 @@
 		if err := t.record(ctx, c, s, kind); err != nil {
 			return err
 		}
-		acts := f.drainAll(ctx, found, t.Who, kind == historian.Drained)
+		acts := drainAll(ctx, found, t.Who, kind == historian.Drained)
 		return c.reportActs(acts, kind)
 	})
 }
@@ -89,13 +88,13 @@
 	return err
 }
 
-func (f *fleet) drainAll(ctx context.Context, found []*agentView, who string, leave bool) []wireAct {
+func drainAll(ctx context.Context, found []*agentView, who string, leave bool) []wireAct {
 	acts := make([]wireAct, len(found))
 	var mu sync.Mutex
 	forEach(len(found), func(i int) {
 		a := found[i].agent
 		act := wireAct{Agent: a.GetAgent().GetName(), Address: a.GetAddress()}
-		load, err := f.drain(ctx, a.GetAddress(), who, leave)
+		load, err := askDrain(ctx, a.GetAddress(), who, leave)
 		if err != nil {
 			act.Error = err.Error()
 		}
--- a/commands/explain.go
+++ b/commands/explain.go
@@ -63,9 +63,7 @@
 		if err != nil {
 			return err
 		}
-		f := newFleet()
-		defer f.close()
-		views, err := f.entries(ctx, s)
+		views, err := askEntries(ctx, s, nil)
 		if err != nil {
 			return err
 		}
--- a/commands/fleet.go
+++ b/commands/fleet.go
@@ -2,39 +2,31 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
 	"connectrpc.com/connect"
 
+	"agatevalve/dialer"
 	"agatevalve/registrar"
 	"agatevalve/wire/agatevalvev1"
 	"agatevalve/wire/agatevalvev1/agatevalvev1connect"
 )
 
 const (
-	// fleetWithin bounds one call to an entry or agent.
-	fleetWithin = 3 * time.Second
-	// fleetConnect bounds the opening of a connection.
-	fleetConnect = time.Second
-	// fleetAtOnce is how many processes are called at the same time.
-	fleetAtOnce = 32
+	// askWithin bounds one call to an entry or agent.
+	askWithin = 3 * time.Second
+	// askAtOnce is how many processes are called at the same time.
+	askAtOnce = 32
 )
 
-// fleet calls entries and agents.
-type fleet struct{ client *http.Client }
-
-func newFleet() *fleet {
-	dialer := &net.Dialer{Timeout: fleetConnect}
-	transport := &http.Transport{DialContext: dialer.DialContext}
-	return &fleet{client: &http.Client{Transport: transport, Timeout: fleetWithin}}
+// entryFlags name entries that are asked without the store.
+type entryFlags struct {
+	Entry []netip.AddrPort `help:"Ask this entry, at its internal listener, besides those in the store; may be repeated. This works while the store is down." placeholder:"IP:PORT"`
 }
 
-func (f *fleet) close() { f.client.CloseIdleConnections() }
-
 // entryView is what is known about one live entry.
 type entryView struct {
 	member registrar.Member
@@ -43,23 +35,45 @@
 	err    error
 }
 
-// entries asks all live entries for their status.
-func (f *fleet) entries(ctx context.Context, s *store) ([]entryView, error) {
+// askEntries asks all live entries for their status, and those at the given
+// addresses. With addresses, a store that can't be read is not an error.
+func askEntries(ctx context.Context, s *store, named []netip.AddrPort) ([]entryView, error) {
 	members, err := registrar.List(ctx, s)
-	if err != nil {
+	if err != nil && len(named) == 0 {
 		return nil, err
 	}
 	live := registrar.Live(members, time.Now())
+	for _, address := range named {
+		known := slices.ContainsFunc(live, func(m registrar.Member) bool { return m.Address == address })
+		if !known {
+			live = append(live, registrar.Member{Address: address})
+		}
+	}
 	views := make([]entryView, len(live))
 	forEach(len(live), func(i int) {
 		views[i].member = live[i]
-		views[i].status, views[i].err = f.status(ctx, live[i].Address)
+		views[i].status, views[i].err = askStatus(ctx, live[i].Address)
+		views[i].name()
 	})
 	return views, nil
 }
 
-func (f *fleet) status(ctx context.Context, address netip.AddrPort) (*agatevalvev1.StatusResponse, error) {
-	client := agatevalvev1connect.NewEntryServiceClient(f.client, "http://"+address.String())
+// name takes the name and zone from the status of an entry that only its
+// address was known of.
+func (v *entryView) name() {
+	if v.status == nil || v.member.Process.Name != "" {
+		return
+	}
+	v.member.Process.Name = v.status.GetFrom().GetName()
+	v.member.Zone = v.status.GetZone()
+}
+
+func askStatus(ctx context.Context, address netip.AddrPort) (*agatevalvev1.StatusResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, askWithin)
+	defer cancel()
+	connection := dialer.New(dialer.Options{})
+	defer connection.Close()
+	client := agatevalvev1connect.NewEntryServiceClient(connection, "http://"+address.String())
 	response, err := client.Status(ctx, connect.NewRequest(&agatevalvev1.StatusRequest{}))
 	if err != nil {
 		return nil, err
@@ -67,8 +81,12 @@
 	return response.Msg, nil
 }
 
-func (f *fleet) drain(ctx context.Context, address, who string, leave bool) (*agatevalvev1.Load, error) {
-	client := agatevalvev1connect.NewAgentServiceClient(f.client, "http://"+address)
+func askDrain(ctx context.Context, address, who string, leave bool) (*agatevalvev1.Load, error) {
+	ctx, cancel := context.WithTimeout(ctx, askWithin)
+	defer cancel()
+	connection := dialer.New(dialer.Options{})
+	defer connection.Close()
+	client := agatevalvev1connect.NewAgentServiceClient(connection, "http://"+address)
 	request := &agatevalvev1.DrainRequest{Leave: leave, Who: who}
 	response, err := client.Drain(ctx, connect.NewRequest(request))
 	if err != nil {
@@ -80,7 +98,7 @@
 // forEach runs do for 0 to count-1, some at the same time, and waits.
 func forEach(count int, do func(i int)) {
 	var group sync.WaitGroup
-	places := make(chan struct{}, fleetAtOnce)
+	places := make(chan struct{}, askAtOnce)
 	for i := range count {
 		places <- struct{}{}
 		group.Go(func() {
--- a/commands/publish.go
+++ b/commands/publish.go
@@ -53,6 +53,9 @@
 	// Live is the number of live entries.
 	Live   int          `json:"live"`
 	Behind []wireBehind `json:"behind"`
+	// Unjoined names the pools of changed rows that no minion joins, as far as
+	// the entries that answered know.
+	Unjoined []string `json:"unjoined"`
 }
 
 type wireBehind struct {
@@ -72,18 +75,22 @@
 	if !e.NoWait {
 		now, waitErr = c.awaitEverywhere(ctx, s, receipt.Revision)
 	}
-	if err := e.reportStanding(c, receipt, now, waitErr == nil); err != nil {
+	unjoined := findUnjoined(ctx, s, receipt.Changes)
+	if err := e.reportStanding(c, receipt, now, unjoined, waitErr == nil); err != nil {
 		return err
 	}
 	return waitErr
 }
 
-func (e edit) reportStanding(c *console, receipt publisher.Receipt, now standing, everywhere bool) error {
+func (e edit) reportStanding(c *console, receipt publisher.Receipt, now standing, unjoined []string, everywhere bool) error {
+	for _, name := range unjoined {
+		c.note("warning: no minion joins pool %q yet; start agents with the pool in their settings, or delete it", name)
+	}
 	if c.json() {
 		return c.encode(wireReceipt{
 			Revision: receipt.Revision, Changes: historian.FormatChanges(receipt.Changes),
 			Warnings: encodeFindings(receipt.Warnings), Waited: !e.NoWait, Live: now.live,
-			Behind: append([]wireBehind{}, now.behind...),
+			Behind: append([]wireBehind{}, now.behind...), Unjoined: append([]string{}, unjoined...),
 		})
 	}
 	if e.NoWait || !everywhere {
--- a/commands/status.go
+++ b/commands/status.go
@@ -12,7 +12,7 @@
 )
 
 // StatusCommand shows what runs.
-type StatusCommand struct{}
+type StatusCommand struct{ entryFlags }
 
 type wireStatus struct {
 	Store   wireStore   `json:"store"`
@@ -23,6 +23,8 @@
 type wireStore struct {
 	Address  string `json:"address"`
 	Revision uint64 `json:"revision"`
+	// Error says why the store could not be read; Revision is then unset.
+	Error string `json:"error,omitempty"`
 }
 
 type wireEntry struct {
@@ -57,19 +59,20 @@
 }
 
 // Run asks the store and every live entry.
-func (*StatusCommand) Run(c *console) error {
+func (u *StatusCommand) Run(c *console) error {
 	return c.withStore(func(ctx context.Context, s *store) error {
-		head, err := s.historian.Head(ctx)
-		if err != nil {
-			return err
+		head, headErr := s.historian.Head(ctx)
+		if headErr != nil && len(u.Entry) == 0 {
+			return headErr
 		}
-		f := newFleet()
-		defer f.close()
-		views, err := f.entries(ctx, s)
+		views, err := askEntries(ctx, s, u.Entry)
 		if err != nil {
 			return err
 		}
 		status := encodeStatus(c.root.Store.String(), head, views)
+		if headErr != nil {
+			status.Store.Error = describe(headErr)
+		}
 		if c.json() {
 			return c.encode(status)
 		}
@@ -79,7 +82,7 @@
 
 func encodeStatus(store string, head historian.Head, views []entryView) wireStatus {
 	status := wireStatus{
-		Store:   wireStore{store, head.Revision},
+		Store:   wireStore{Address: store, Revision: head.Revision},
 		Entries: make([]wireEntry, 0, len(views)),
 		Agents:  []wireAgent{},
 	}
@@ -100,7 +103,7 @@
 		Address: v.member.Address.String(), Revision: v.member.Revision,
 	}
 	if v.status == nil {
-		e.Error = v.err.Error()
+		e.Error = describe(v.err)
 		return e
 	}
 	e.Revision = v.status.GetRevision()
@@ -122,7 +125,11 @@
 }
 
 func (c *console) printStatus(status wireStatus) error {
-	if err := c.print("store %s: revision %d in force\n\n", status.Store.Address, status.Store.Revision); err != nil {
+	state := fmt.Sprintf("revision %d in force", status.Store.Revision)
+	if status.Store.Error != "" {
+		state = "can't be read: " + status.Store.Error
+	}
+	if err := c.print("store %s: %s\n\n", status.Store.Address, state); err != nil {
 		return err
 	}
 	if err := c.table(entryTable(status)); err != nil {
--- /dev/null
+++ b/testscripts/agent_test.go
@@ -0,0 +1,42 @@
+package testscripts_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"agatevalve/attendant"
+	"agatevalve/connector"
+	"agatevalve/loader"
+)
+
+// startAgent starts an agent beside a minion that answers with its method and
+// path: agent NAME POOL.
+func startAgent(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: agent NAME POOL")
+	}
+	minion := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "minion got "+r.Method+" "+r.URL.Path) // A caller that left needs no answer.
+	}))
+	ts.Defer(minion.Close)
+	settings := loader.DefaultAgent()
+	settings.Name, settings.Zone, settings.Worker, settings.Rack = args[0], "cartago", "worker-1", "rack-1"
+	settings.Listen = netip.MustParseAddrPort(ts.Getenv("AGENT"))
+	settings.Store = netip.MustParseAddrPort(ts.Getenv("AGATEVALVE_STORE"))
+	settings.Minion = netip.MustParseAddrPort(strings.TrimPrefix(minion.URL, "http://"))
+	settings.Pools, settings.Slots, settings.StopWithin = []string{args[1]}, 8, time.Second
+	client := connector.New(connector.Options{Store: settings.Store})
+	a, err := attendant.New(attendant.Options{Settings: settings, Table: client})
+	ts.Check(err)
+	ts.Defer(func() {
+		_ = a.Close(context.Background()) // The script has ended.
+		client.Close()
+	})
+}
--- a/testscripts/entry_test.go
+++ b/testscripts/entry_test.go
@@ -61,7 +61,8 @@
 }
 
 // startEntry registers a stand-in of a live entry: entry NAME REVISION, with
-// the word silent for one that answers no call.
+// the word silent for one that answers no call. The name begins with "entry-";
+// ENTRY_ and the rest of it becomes a variable with the address.
 func startEntry(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 2 {
 		ts.Fatalf("usage: entry NAME REVISION [silent]")
@@ -72,9 +73,13 @@
 	mux := http.NewServeMux()
 	mux.Handle(agatevalvev1connect.NewEntryServiceHandler(s))
 	mux.Handle(agatevalvev1connect.NewAgentServiceHandler(s))
-	server := httptest.NewServer(mux)
+	server := httptest.NewUnstartedServer(mux)
+	server.Config.Protocols = new(http.Protocols)
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Start()
 	ts.Defer(server.Close)
 	s.address = strings.TrimPrefix(server.URL, "http://")
+	ts.Setenv("ENTRY_"+s.name[len("entry-"):], s.address)
 	if len(args) > 2 && args[2] == "silent" {
 		server.Close()
 	}
--- a/testscripts/testscripts_test.go
+++ b/testscripts/testscripts_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"testing"
@@ -53,18 +55,53 @@
 			env.Setenv("AGATEVALVE_STORE", store.String())
 			env.Setenv("AGATEVALVE_WHO", "ana")
 			env.Setenv("EXAMPLES", examples)
-			settings := fmt.Sprintf("{\n  \"listen\": %q,\n  \"write-takes\": \"1ms\"\n}\n", store)
-			return os.WriteFile(filepath.Join(env.WorkDir, "platform.json"), []byte(settings), writeMode)
+			return writeSettings(env, store)
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"exits":     exits,
 			"listening": listening,
 			"fault":     switchFault,
 			"entry":     startEntry,
+			"agent":     startAgent,
+			"fetch":     fetch,
+			"shows":     shows,
 		},
 	})
 }
 
+// writeSettings writes settings files with free addresses, which stand in
+// variables too.
+func writeSettings(env *testscript.Env, store netip.AddrPort) error {
+	addresses := map[string]netip.AddrPort{"STORE": store}
+	for _, name := range []string{"CALLERS", "OPERATORS", "INTERNAL", "AGENT"} {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		addresses[name] = address
+		env.Setenv(name, address.String())
+	}
+	files := map[string]string{
+		"platform.json": `{
+  "listen": "$STORE",
+  "write-takes": "1ms"
+}`,
+		"entry.json": `{
+  "name": "entry-1", "zone": "cartago",
+  "callers": "$CALLERS", "operators": "$OPERATORS", "internal": "$INTERNAL",
+  "store": "$STORE",
+  "limits": {"stop-notice": "0s"}
+}`,
+	}
+	for name, text := range files {
+		text = os.Expand(text, func(key string) string { return addresses[key].String() })
+		if err := os.WriteFile(filepath.Join(env.WorkDir, name), []byte(text), writeMode); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func freeAddress() (netip.AddrPort, error) {
 	var config net.ListenConfig
 	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
@@ -112,6 +149,57 @@
 	ts.Fatalf("%s does not accept connections", args[0])
 }
 
+// shows runs a command until its output holds a match: shows REGEXP COMMAND ARGS.
+func shows(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: shows REGEXP COMMAND ARGS")
+	}
+	wanted, err := regexp.Compile("(?m)" + args[0])
+	ts.Check(err)
+	deadline := time.Now().Add(listenWithin)
+	for time.Now().Before(deadline) {
+		ts.Check(ts.Exec(args[1], args[2:]...))
+		if wanted.MatchString(ts.ReadFile("stdout")) {
+			return
+		}
+		time.Sleep(dialPause)
+	}
+	ts.Fatalf("%s is not shown", args[0])
+}
+
+// fetch sends a GET until the answer has a status and holds a text:
+// fetch URL STATUS TEXT.
+func fetch(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 3 {
+		ts.Fatalf("usage: fetch URL STATUS TEXT")
+	}
+	deadline := time.Now().Add(listenWithin)
+	last := ""
+	for time.Now().Before(deadline) {
+		status, body, err := get(args[0])
+		if err == nil && strconv.Itoa(status) == args[1] && strings.Contains(body, args[2]) {
+			return
+		}
+		last = fmt.Sprint(status, " ", body, " ", err)
+		time.Sleep(dialPause)
+	}
+	ts.Fatalf("%s answers %s", args[0], last)
+}
+
+func get(url string) (int, string, error) {
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return 0, "", err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(body), err
+}
+
 // switchFault switches a fault of the stand-in on, or all off:
 // fault KIND OPERATIONS COUNT, or fault none.
 func switchFault(ts *testscript.TestScript, neg bool, args []string) {
