attendant: Leave a stream alone once its handler has returned

Cause: the owner of the core could set a deadline on a stream whose handler had returned, which net/http answers with a race or a nil pointer; and a reader could extend the deadline that had just ended its link. The race detector found the first in 1 of 8 runs of TestSlowEntryHindersNobody. Ruled out: making the owner wait for handlers, because a slow entry must not block it. Change: the deadlines of a link are set under its lock, and never after end. Conclusion: a slow entry loses its link and nothing else.

--- a/attendant/attendant.go
+++ b/attendant/attendant.go
@@ -28,8 +28,9 @@
 
 const (
 	// DefaultQueueLength is how many accepted tasks wait for a slot, so that the
-	// minion gets the next one without a round trip to an entry.
-	DefaultQueueLength = 2
+	// minion gets the next one without a round trip to an entry, and several
+	// entries that find the same slot free are not refused.
+	DefaultQueueLength = 8
 	// DefaultLinger is how long a leaving agent goes on refusing after the last
 	// start came, so that no start in flight is cut.
 	DefaultLinger = time.Second
--- a/attendant/link.go
+++ b/attendant/link.go
@@ -52,10 +52,11 @@
 	attendant *Attendant
 	entry     task.Process
 	stream    *stream
-	// control sets the deadlines of the stream.
+	notes     *ring.Ring[note]
+
+	mu sync.Mutex
+	// control sets the deadlines of the stream; nil once its handler returns.
 	control *http.ResponseController
-	notes   *ring.Ring[note]
-	once    sync.Once
 	// reason is set once, before the stream's deadlines end it.
 	reason error
 }
@@ -76,6 +77,7 @@
 	l.end(err)
 	a.inputs.Put(context.Background(), input{event: runner.LinkClosed{Entry: l.entry}, link: l})
 	writer.Wait()
+	l.leave()
 	a.o.Logger.Info("attendant: Link ended", "entry", l.entry.Name, "reason", l.reason)
 	return asConnect(l.reason)
 }
@@ -122,7 +124,11 @@
 // fail ends the link at once. The first reason stands.
 func (l *link) fail(reason error) {
 	l.end(reason)
-	_ = l.control.SetWriteDeadline(past) // A stream that has ended needs none.
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.control != nil {
+		_ = l.control.SetWriteDeadline(past) // A stream that has ended needs none.
+	}
 }
 
 // finish lets the writer write what waits, and end the link.
@@ -130,16 +136,39 @@
 
 // end makes the reader return, and the writer once nothing waits.
 func (l *link) end(reason error) {
-	l.once.Do(func() {
-		l.reason = reason
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.reason != nil {
+		return
+	}
+	l.reason = reason
+	l.notes.Close()
+	if l.control != nil {
 		_ = l.control.SetReadDeadline(past) // A stream that has ended needs none.
-		l.notes.Close()
-	})
+	}
+}
+
+// extend gives the entry time for its next frame, unless the link ends.
+func (l *link) extend() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.reason != nil {
+		return l.reason
+	}
+	return l.control.SetReadDeadline(time.Now().Add(linkSilence))
+}
+
+// leave gives up the stream, which must not be touched once its handler has
+// returned.
+func (l *link) leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.control = nil
 }
 
 func (l *link) read(ctx context.Context) error {
 	for {
-		if err := l.control.SetReadDeadline(time.Now().Add(linkSilence)); err != nil {
+		if err := l.extend(); err != nil {
 			return err
 		}
 		frame, err := l.stream.Receive()
