linker: Tell the core of an agent only while its link is open

Cause: an agent whose announcements arrive but whose address can't be reached from here was given task after task, each unsent, and some requests went around until their deadline. Ruled out: leaving it to the choice of minions, which sees a refusal and no broken path; a longer pause after an unsent start, which delays tasks that another agent could take. Change: an announcement reaches the core once the agent has proved its incarnation over a link; when the link ends the core is told that the agent takes no new work, until the link, which is opened again by itself, has proved it again.

--- a/greeter/greeter.go
+++ b/greeter/greeter.go
@@ -45,8 +45,9 @@
 	Revision func() uint64
 	// Hear takes the revision that another process knows of.
 	Hear func(revision uint64)
-	// Meet takes the address of an agent that has announced itself.
-	Meet func(peer dispatcher.Peer)
+	// Meet takes the announcement of an agent. It reports false when the entry
+	// is too busy.
+	Meet func(ctx context.Context, announcement dispatcher.Announcement) bool
 	// Status returns the state of this entry.
 	Status  func(ctx context.Context) (*v1.StatusResponse, error)
 	Log     *slog.Logger
@@ -104,11 +105,10 @@
 	if announcement.Load.Revision > g.o.Revision() {
 		g.o.Hear(announcement.Load.Revision)
 	}
-	if !g.o.Events.Put(ctx, dispatcher.Announced{Announcement: announcement}) {
+	if !g.o.Meet(ctx, announcement) {
 		return nil, connect.NewError(connect.CodeUnavailable, errBusy())
 	}
 	g.agents.keep(announcement, now)
-	g.o.Meet(announcement.Peer)
 	return connect.NewResponse(&v1.AnnounceResponse{
 		From:     encoder.ProcessToWire(g.o.Self),
 		Revision: g.o.Revision(),
--- a/greeter/greeter_test.go
+++ b/greeter/greeter_test.go
@@ -39,7 +39,7 @@
 	events  *ring.Ring[dispatcher.Event]
 	waiters *waiter.Registry
 	heard   chan uint64
-	met     chan dispatcher.Peer
+	met     chan dispatcher.Announcement
 	address netip.AddrPort
 	client  agatevalvev1connect.EntryServiceClient
 }
@@ -50,7 +50,7 @@
 		events:  ring.New[dispatcher.Event](64),
 		waiters: waiter.New(),
 		heard:   make(chan uint64, 8),
-		met:     make(chan dispatcher.Peer, 8),
+		met:     make(chan dispatcher.Announcement, 8),
 	}
 	g := greeter.New(greeter.Options{
 		Self:     self,
@@ -58,8 +58,11 @@
 		Waiters:  o.waiters,
 		Revision: func() uint64 { return 5 },
 		Hear:     func(revision uint64) { o.heard <- revision },
-		Meet:     func(p dispatcher.Peer) { o.met <- p },
-		Status:   func(context.Context) (*v1.StatusResponse, error) { return &v1.StatusResponse{Revision: 5}, nil },
+		Meet: func(_ context.Context, a dispatcher.Announcement) bool {
+			o.met <- a
+			return true
+		},
+		Status: func(context.Context) (*v1.StatusResponse, error) { return &v1.StatusResponse{Revision: 5}, nil },
 	})
 	server := httptest.NewUnstartedServer(g.Handler())
 	server.Config.Protocols = new(http.Protocols)
@@ -94,15 +97,14 @@
 	}
 }
 
-func TestAnnouncementReachesTheCore(t *testing.T) {
+func TestAnnouncementIsTaken(t *testing.T) {
 	is := is.New(t)
 	o := newOwner(t)
 	response, err := o.client.Announce(context.Background(), connect.NewRequest(encoder.AnnouncementToWire(announcement())))
 	is.NoErr(err)
 	is.Equal(response.Msg.GetRevision(), uint64(5))
 	is.Equal(response.Msg.GetFrom().GetName(), self.Name)
-	is.Equal(o.next(t).(dispatcher.Announced).Announcement.Peer, agent)
-	is.Equal(<-o.met, agent)
+	is.Equal((<-o.met).Peer, agent)
 	is.Equal(<-o.heard, uint64(6)) // The agent knows a newer revision.
 }
 
@@ -142,7 +144,7 @@
 	a.Expires = time.Now().Add(24 * time.Hour)
 	_, err := o.client.Announce(context.Background(), connect.NewRequest(encoder.AnnouncementToWire(a)))
 	is.NoErr(err)
-	is.True(o.next(t).(dispatcher.Announced).Announcement.Expires.Before(time.Now().Add(time.Hour)))
+	is.True((<-o.met).Expires.Before(time.Now().Add(time.Hour)))
 }
 
 func fetchFrom(to task.Process) *connect.Request[v1.FetchRequest] {
--- a/linker/link.go
+++ b/linker/link.go
@@ -104,7 +104,7 @@
 // that what is left in the ring is proved not to have been sent.
 func (k *link) finish() {
 	k.fail(context.Canceled)
-	k.linker.remove(k)
+	k.linker.ended(k)
 	k.out.Close()
 	orders, _ := k.out.TakeAll(nil)
 	for _, o := range orders {
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -30,8 +29,12 @@
 	DefaultRingSize = 4096
 	// DefaultMessageBytes caps one message from an agent.
 	DefaultMessageBytes = 48 << 20
-	// reopenAfter is the least time between two links to one agent.
-	reopenAfter = 100 * time.Millisecond
+	// firstReopen and lastReopen bound the mean pause between two links to one
+	// agent, which doubles with each link that fails before it opens.
+	firstReopen = 100 * time.Millisecond
+	lastReopen  = 2 * time.Second
+	// maxDoublings keeps the doubled pause from overflowing.
+	maxDoublings = 8
 	// closeWithin bounds the writing of what waits when the linker closes.
 	closeWithin = time.Second
 )
@@ -78,10 +81,11 @@
 	inquiries chan struct{}
 
 	mu sync.Mutex
-	// links holds at most one open or opening link per run of an agent.
-	links map[task.Process]*link
-	// reopen holds the earliest time of the next link to an agent.
-	reopen map[task.Process]time.Time
+	// agents holds the runs of agents that have announced themselves or had a
+	// start.
+	agents map[task.Process]*agent
+	// swept is when agents were last removed.
+	swept  time.Time
 	closed bool
 }
 
@@ -92,21 +96,27 @@
 		o:         o,
 		counters:  newCounters(o.Metrics),
 		inquiries: make(chan struct{}, maxInquiries),
-		links:     make(map[task.Process]*link),
-		reopen:    make(map[task.Process]time.Time),
+		agents:    make(map[task.Process]*agent),
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.asking, l.stopAsking = context.WithCancel(l.ctx)
 	return l
 }
 
-// Meet opens a link to an agent unless there is one.
-func (l *Linker) Meet(peer dispatcher.Peer) { l.link(peer) }
+// Meet takes an agent's announcement and opens a link to it. The core hears of
+// the agent while the link is open only, so that no task waits for an agent
+// that can't be reached from here. It reports false when the core is too busy.
+func (l *Linker) Meet(ctx context.Context, announcement dispatcher.Announcement) bool {
+	if !l.meet(announcement) {
+		return true // The link gives the event once it opens.
+	}
+	return l.tell(ctx, announcement)
+}
 
 // Send hands a start to the link without blocking. False proves that the start
 // has not left this process and never will.
 func (l *Linker) Send(peer dispatcher.Peer, start task.Start) bool {
-	k := l.link(peer)
+	k := l.open(peer)
 	if k == nil || !k.offerStart(start) {
 		l.counters.unsent.Inc(1)
 		return false
@@ -132,8 +142,10 @@
 	l.stopAsking()
 	l.mu.Lock()
 	l.closed = true
-	for _, k := range l.links {
-		k.out.Close()
+	for _, a := range l.agents {
+		if a.link != nil {
+			a.link.out.Close()
+		}
 	}
 	l.mu.Unlock()
 	timer := time.AfterFunc(closeWithin, l.cancel)
@@ -150,49 +162,11 @@
 }
 
 func (l *Linker) offer(peer dispatcher.Peer, o order) {
-	l.mu.Lock()
-	k := l.links[peer.Process]
-	l.mu.Unlock()
-	if k == nil || !k.out.Offer(o) {
+	if k := l.find(peer.Process); k == nil || !k.out.Offer(o) {
 		l.counters.ordersDropped.Inc(1)
 	}
 }
 
-// link returns the link to an agent and opens one if there is none. It returns
-// nil when the last link broke a moment ago or the linker is closed.
-func (l *Linker) link(peer dispatcher.Peer) *link {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if k := l.links[peer.Process]; k != nil {
-		return k
-	}
-	now := time.Now()
-	if l.closed || now.Before(l.reopen[peer.Process]) {
-		return nil
-	}
-	delete(l.reopen, peer.Process)
-	k := newLink(l, peer)
-	l.links[peer.Process] = k
-	return k
-}
-
-// remove forgets a link that has ended.
-func (l *Linker) remove(k *link) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.links[k.peer.Process] != k {
-		return
-	}
-	delete(l.links, k.peer.Process)
-	now := time.Now()
-	for process, at := range l.reopen {
-		if at.Before(now) {
-			delete(l.reopen, process)
-		}
-	}
-	l.reopen[k.peer.Process] = now.Add(reopenAfter/2 + rand.N(reopenAfter))
-}
-
 func (l *Linker) put(ev dispatcher.Event) { l.o.Events.Put(l.asking, ev) }
 
 func (o Options) withDefaults() Options {
--- a/linker/reader.go
+++ b/linker/reader.go
@@ -38,6 +38,7 @@
 		k.progress.saw(time.Now())
 		if !greeted {
 			greeted = true
+			k.linker.opened(k)
 			close(k.greeted)
 		}
 		k.take(frame)
