entry: Turn ready only with a configuration in force

Cause: an entry that found an empty store called itself ready and answered every path with 404, as if its operators had wanted that. Ruled out: a 404 with a hint, which balancers can't read. Change: readiness needs a revision in force, and callers get 503 not-run before; tests of that, of an outage after it, and of a stop while a request waits for a minion. Conclusion: an entry without routes takes no callers.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -247,10 +247,10 @@
 	}
 }
 
-// routes returns the table in force, or nil before the store was first read.
+// routes returns the table in force, or nil before there is one.
 func (e *Entry) routes() *router.Table {
 	table := e.follower.Current()
-	if table.Revision() == 0 && !e.follower.Ready() {
+	if table.Revision() == 0 {
 		return nil
 	}
 	return table
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -6,13 +6,17 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"agatevalve/common/fault"
 	"agatevalve/emulator"
 	"agatevalve/entry"
+	"agatevalve/historian"
 	"agatevalve/loader"
+	"agatevalve/publisher"
+	"agatevalve/router"
 )
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
@@ -41,31 +45,94 @@
 	}
 }
 
-func TestEntryIsNotReadyBeforeItHasReadTheStore(t *testing.T) {
+// publish brings one route into force.
+func publish(t *testing.T, table *emulator.Table) {
+	t.Helper()
+	p := publisher.New(publisher.Options{
+		Table: table,
+		Now:   time.Now,
+		Token: func() historian.Token { return "test" },
+		Pause: func(ctx context.Context) error { return ctx.Err() },
+	})
+	content := historian.Configuration{
+		Routes: []router.Route{{Name: "holds", PathPrefix: "/holds", Pool: "desk"}},
+		Pools:  []router.Pool{{Name: "desk"}},
+	}
+	_, err := p.Publish(context.Background(), publisher.Edit{
+		Author:  publisher.Author{Who: "ana", Why: "first"},
+		Changes: historian.Diff(historian.Configuration{}, content),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestEntryIsReadyOnceAConfigurationIsInForce(t *testing.T) {
 	is := is.New(t)
 	table := emulator.NewTable(emulator.Options{})
 	is.NoErr(table.SetFault(emulator.Fault{Kind: emulator.Down}))
 	e := newEntry(t, table)
 	defer closeEntry(t, e)
 	operators, callers := "http://"+e.Operators().String(), "http://"+e.Callers().String()
+	checkRefuses := func() {
+		t.Helper()
+		status, body := get(operators + "/readyz")
+		is.Equal(status, http.StatusServiceUnavailable)
+		is.True(strings.Contains(body, "no configuration"))
+		status, body = get(callers + "/holds")
+		is.Equal(status, http.StatusServiceUnavailable)
+		is.True(strings.Contains(body, `"outcome":"not-run"`))
+		status, _ = get(operators + "/healthz")
+		is.Equal(status, http.StatusOK) // It lives, and only waits.
+	}
 
-	status, body := get(operators + "/readyz")
-	is.Equal(status, http.StatusServiceUnavailable)
-	is.True(strings.Contains(body, "not in force"))
-	status, body = get(callers + "/holds")
-	is.Equal(status, http.StatusServiceUnavailable)
-	is.True(strings.Contains(body, `"outcome":"not-run"`))
-	status, _ = get(operators + "/healthz")
-	is.Equal(status, http.StatusOK) // It lives, and only waits for the store.
-
+	checkRefuses() // The store is down.
 	table.ClearFaults()
+	checkRefuses() // The store is empty.
+	publish(t, table)
 	s := &system{t: t}
 	s.await("the entry is ready", e.Ready)
-	status, _ = get(operators + "/readyz")
+	status, _ := get(operators + "/readyz")
 	is.Equal(status, http.StatusOK)
-	status, body = get(callers + "/holds")
-	is.Equal(status, http.StatusNotFound) // There are no routes yet.
+	status, body := get(callers + "/elsewhere")
+	is.Equal(status, http.StatusNotFound)
 	is.True(strings.Contains(body, `"outcome":"not-run"`))
+
+	// An outage later on takes nothing away.
+	is.NoErr(table.SetFault(emulator.Fault{Kind: emulator.Down}))
+	status, _ = get(callers + "/elsewhere")
+	is.Equal(status, http.StatusNotFound)
+	table.ClearFaults()
+}
+
+// TestStopAnswersWhatWaits stops an entry while a request waits for a minion.
+func TestStopAnswersWhatWaits(t *testing.T) {
+	is := is.New(t)
+	table := emulator.NewTable(emulator.Options{})
+	publish(t, table)
+	chosen := settings()
+	chosen.Limits.AnswerWithin = time.Second
+	e, err := entry.New(entry.Options{Settings: chosen, Table: table})
+	is.NoErr(err)
+	s := &system{t: t}
+	s.await("the entry is ready", e.Ready)
+	answered := make(chan int)
+	go func() {
+		status, _ := get("http://" + e.Callers().String() + "/holds")
+		answered <- status
+	}()
+	s.await("the request waits", func() bool {
+		_, body := get("http://" + e.Operators().String() + "/metrics")
+		return strings.Contains(body, "\nagatevalve_tasks_waiting 1\n")
+	})
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		closeEntry(t, e)
+	}()
+	status := <-answered
+	is.True(status >= http.StatusBadRequest && status < 600) // A refusal, and no cut connection.
+	<-stopped
 }
 
 func TestListenersAreSeparate(t *testing.T) {
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -35,6 +35,9 @@
 	if e.stopping.Load() {
 		return "the entry stops"
 	}
+	if e.follower.Revision() == 0 {
+		return "no configuration is in force yet"
+	}
 	if !e.follower.Ready() {
 		return "the newest known configuration is not in force yet"
 	}
