receiver: Fuzz the jobs of callers

Cause: a job is the widest input that a stranger can send. Change: FuzzJob holds that any bytes are refused as not run and never submitted, or submitted whole, within the limits, as requests that net/http can send.

--- /dev/null
+++ b/receiver/fuzz_test.go
@@ -0,0 +1,93 @@
+package receiver_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"unicode/utf8"
+
+	"agatevalve/common/task"
+	"agatevalve/dispatcher"
+	"agatevalve/receiver"
+	"agatevalve/router"
+	"agatevalve/waiter"
+)
+
+// answering replies to each submission at once and keeps the last one.
+type answering struct {
+	waiters *waiter.Registry
+	last    *dispatcher.Submission
+}
+
+// Offer implements receiver.Events.
+func (a *answering) Offer(ev dispatcher.Event) bool {
+	if e, ok := ev.(dispatcher.Submitted); ok {
+		a.last = &e.Submission
+		answer, _ := echo(e.Submission)
+		a.waiters.Deliver(dispatcher.Reply{Ticket: e.Submission.Ticket, Known: true, Answer: answer})
+	}
+	return true
+}
+
+// Put implements receiver.Events.
+func (a *answering) Put(_ context.Context, ev dispatcher.Event) bool { return a.Offer(ev) }
+
+// FuzzJob sends any bytes as a job: they are refused as not run and never
+// submitted, or submitted whole within the limits and answered.
+func FuzzJob(f *testing.F) {
+	for _, seed := range []string{
+		`{"tasks":[{"method":"PUT","path":"/x?y=1","header":{"k":["v"]},"body":"a"}]}`,
+		`{"tasks":[{"body-base64":"/w=="},{}]}`,
+		`{"tasks":[{"body":"\ud83d\ude00"}]}`,
+		`{"tasks":[{"body":"\ud83d"}]}`,
+		`{"tasks":[],"tasks":1}`,
+		`[`,
+		"",
+	} {
+		f.Add([]byte(seed))
+	}
+	table, err := router.Compile(1, []router.Route{{Name: "all", PathPrefix: "/", Pool: "desk"}}, []router.Pool{{Name: "desk"}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	limits := smallLimits()
+	f.Fuzz(func(t *testing.T, body []byte) {
+		core := &answering{waiters: waiter.New()}
+		handler := receiver.New(receiver.Options{
+			Limits: limits, Events: core, Waiters: core.waiters, Table: func() *router.Table { return table },
+		})
+		request := httptest.NewRequest(http.MethodPost, "/holds", bytes.NewReader(body))
+		request.Header.Set("Content-Type", jobType)
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, request)
+		if core.last == nil {
+			refused := strings.Contains(recorder.Body.String(), `"outcome":"not-run"`)
+			if !refused || recorder.Code < 400 || recorder.Code > 499 {
+				t.Fatalf("not submitted, and answered with %d: %s", recorder.Code, recorder.Body)
+			}
+			return
+		}
+		if len(core.last.Tasks) < 1 || len(core.last.Tasks) > limits.JobTasks || !utf8.Valid(body) {
+			t.Fatalf("submitted %d tasks", len(core.last.Tasks))
+		}
+		for _, r := range core.last.Tasks {
+			checkSendable(t, r)
+		}
+	})
+}
+
+// checkSendable fails the test unless net/http can send the request.
+func checkSendable(t *testing.T, r task.Request) {
+	t.Helper()
+	request, err := http.NewRequest(r.Method, "http://minion"+r.Path, bytes.NewReader(r.Body))
+	if err != nil {
+		t.Fatalf("submitted a request that can't be sent: %v", err)
+	}
+	request.Header = r.Header
+	if err := request.Write(&bytes.Buffer{}); err != nil {
+		t.Fatalf("submitted a request that can't be sent: %v", err)
+	}
+}
