measurer: Measure placement under load and faults in virtual time

The decisions had no figures: no run compared them with simpler policies or with the ideal. A bench of processes was ruled out, since its figures hang on the machine and a run of minutes takes minutes.

One event loop with a virtual clock drives the shipped cores of dispatcher, balancer, queuer, claimer and runner as they are; only callers, minions, latencies, links and the table service are emulated. A verifier checks the promises from what callers and minions see.

--- /dev/null
+++ b/measurer/deployment.go
@@ -0,0 +1,115 @@
+package measurer
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"agatevalve/common/fault"
+)
+
+// Deployment is the size and place of one installation.
+type Deployment struct {
+	Name string
+	// Pool is the pool that all minions serve.
+	Pool string
+	// Zones are the availability zones.
+	Zones []string
+	// WasteWeight is what one wasted message weighs on idempotent routes.
+	WasteWeight int
+	// ZoneLatency is one way between two zones, NearLatency within one, and
+	// ClientLatency between a caller and an entry.
+	ZoneLatency   time.Duration
+	NearLatency   time.Duration
+	ClientLatency time.Duration
+	// Slots is how many tasks each minion takes at once.
+	Slots int
+	// Factors holds the time of each minion over the average minion's; their
+	// mean is 1.
+	Factors []float64
+	// Shares holds the part of the arrivals that each entry gets; their sum is 1.
+	Shares []float64
+}
+
+// Deployments returns the known deployments.
+func Deployments() []Deployment {
+	factors := []float64{0.7, 0.75, 0.8, 0.85, 0.95, 1, 1.1, 1.15, 1.2, 1.5}
+	shares := []float64{0.5, 0.3, 0.2}
+	return []Deployment{
+		{
+			Name: "campanario", Pool: "ascenso-desk", WasteWeight: 20,
+			Zones:       []string{"cartago", "heredia", "alajuela"},
+			ZoneLatency: 1500 * time.Microsecond, NearLatency: 200 * time.Microsecond,
+			ClientLatency: 3 * time.Millisecond,
+			Slots:         8, Factors: factors, Shares: shares,
+		},
+		{
+			Name: "reed-office", Pool: "reed-desk", WasteWeight: 80,
+			Zones:       []string{"nyarugenge", "gasabo", "kicukiro"},
+			ZoneLatency: time.Millisecond, NearLatency: 200 * time.Microsecond,
+			ClientLatency: time.Millisecond,
+			Slots:         8, Factors: factors, Shares: shares,
+		},
+	}
+}
+
+// FindDeployment returns the deployment of a name.
+func FindDeployment(name string) (Deployment, error) {
+	for _, d := range Deployments() {
+		if d.Name == name {
+			return d, nil
+		}
+	}
+	return Deployment{}, fault.New(fault.NotFound, "name campanario or reed-office", "there is no deployment %q", name)
+}
+
+// latency returns the time of one message between two zones.
+func (d Deployment) latency(a, b string) time.Duration {
+	if a == b {
+		return d.NearLatency
+	}
+	return d.ZoneLatency
+}
+
+// zone spreads processes over the zones.
+func (d Deployment) zone(i int) string { return d.Zones[i%len(d.Zones)] }
+
+// slots returns the slots of all minions.
+func (d Deployment) slots() int { return d.Slots * len(d.Factors) }
+
+// capacity returns the tasks that all minions together end in a second.
+func (d Deployment) capacity() float64 {
+	rate := 0.0
+	for _, f := range d.Factors {
+		rate += float64(d.Slots) / f
+	}
+	return rate / meanService().Seconds()
+}
+
+const (
+	// shortest and longest bound the service time of most tasks.
+	shortest = 50 * time.Millisecond
+	longest  = time.Second
+	// tailShare of the tasks last between tailShortest and tailLongest.
+	tailShare    = 0.01
+	tailShortest = 2 * time.Second
+	tailLongest  = 5 * time.Second
+)
+
+// drawService draws the service time of a task at an average minion:
+// log-uniform for most tasks, uniform in the tail.
+func drawService(random *rand.Rand) time.Duration {
+	if random.Float64() < tailShare {
+		return tailShortest + time.Duration(random.Float64()*float64(tailLongest-tailShortest))
+	}
+	spread := math.Log(float64(longest) / float64(shortest))
+	return time.Duration(float64(shortest) * math.Exp(random.Float64()*spread))
+}
+
+// meanService returns the mean of drawService.
+func meanService() time.Duration {
+	spread := math.Log(float64(longest) / float64(shortest))
+	body := float64(longest-shortest) / spread
+	tail := float64(tailShortest+tailLongest) / 2
+	return time.Duration((1-tailShare)*body + tailShare*tail)
+}
--- /dev/null
+++ b/measurer/verifier/verifier.go
@@ -0,0 +1,238 @@
+// Package verifier checks the promises to callers against the history of an
+// experiment. It knows nothing of how entries and agents decide: it sees what
+// callers, minions and the network see.
+package verifier
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"time"
+
+	"agatevalve/common/task"
+	"agatevalve/dispatcher"
+)
+
+// DrainAllowance is how long a leaving minion may still get new work.
+const DrainAllowance = 3 * time.Second
+
+// Violation is a broken promise.
+type Violation struct {
+	// Promise is the kebab-case name of the check.
+	Promise string
+	Job     task.JobID
+	// At is the virtual time since the experiment began.
+	At time.Duration
+	// Detail is a sentence for people.
+	Detail string
+	// Trace lists what happened to the job, one step a line.
+	Trace []string
+}
+
+// Job is a submission and all its resubmissions, as its caller knows it.
+type Job struct {
+	ID         task.JobID
+	Idempotent bool
+	// Keyed is true when resubmissions must get the same answer.
+	Keyed bool
+	// Bodies holds the request body of each task; a minion's response begins with it.
+	Bodies [][]byte
+
+	// starts counts the starts of each task at minions.
+	starts []int
+	// open counts the submissions without a reply.
+	open int
+	// withdrawn counts the submissions whose caller went away.
+	withdrawn int
+	// denied is true after a reply that nothing ran, until a new submission.
+	denied bool
+	// answer is the first complete answer.
+	answer []task.Response
+	trace  []step
+}
+
+// step is one line of a trace.
+type step struct {
+	at      time.Time
+	what    string
+	who     string
+	index   int
+	attempt task.Attempt
+}
+
+// Verifier collects violations.
+type Verifier struct {
+	epoch time.Time
+	jobs  map[task.JobID]*Job
+	// drains holds when each leaving minion began to leave.
+	drains map[string]time.Time
+	// Violations holds what was found, in order.
+	Violations []Violation
+}
+
+// New returns a verifier of an experiment that begins at epoch.
+func New(epoch time.Time) *Verifier {
+	return &Verifier{epoch: epoch, jobs: make(map[task.JobID]*Job), drains: make(map[string]time.Time)}
+}
+
+// Add makes a job known before its first submission.
+func (v *Verifier) Add(j *Job) {
+	j.starts = make([]int, len(j.Bodies))
+	v.jobs[j.ID] = j
+}
+
+// Submitted notes a submission.
+func (v *Verifier) Submitted(now time.Time, j *Job, entry string) {
+	j.open++
+	j.denied = false
+	j.note(now, "submitted", entry, -1, 0)
+}
+
+// Broken notes that a caller lost its connection without a reply.
+func (v *Verifier) Broken(now time.Time, j *Job, entry string) {
+	j.open--
+	j.note(now, "connection broken", entry, -1, 0)
+}
+
+// Withdrawn notes that an entry learned that a caller went away.
+func (v *Verifier) Withdrawn(now time.Time, j *Job, entry string) {
+	j.open--
+	j.withdrawn++
+	j.note(now, "withdrawn", entry, -1, 0)
+}
+
+// Sent checks a start that leaves an entry.
+func (v *Verifier) Sent(now time.Time, s task.Start, entry, agent string) {
+	j := v.jobs[s.Task.Job]
+	if j == nil {
+		return
+	}
+	j.note(now, "sent", entry+" to "+agent, s.Task.Index, s.Attempt)
+	if j.withdrawn > 0 && j.open <= 0 && !j.Keyed {
+		v.violate(now, j, "cancelled-not-sent", "task %d was sent after its caller had gone", s.Task.Index)
+	}
+}
+
+// Refused notes that an agent did not take a start.
+func (v *Verifier) Refused(now time.Time, r task.Report, agent string) {
+	if j := v.jobs[r.Task.Job]; j != nil {
+		j.note(now, "refused as "+r.Refusal.String(), agent, r.Task.Index, r.Attempt)
+	}
+}
+
+// Started checks the start of a task at a minion.
+func (v *Verifier) Started(now time.Time, s task.Start, minion string) {
+	j := v.jobs[s.Task.Job]
+	if j == nil || s.Task.Index >= len(j.starts) {
+		v.violate(now, &Job{ID: s.Task.Job}, "own-answer", "an unknown task was started at %s", minion)
+		return
+	}
+	j.note(now, "started", minion, s.Task.Index, s.Attempt)
+	j.starts[s.Task.Index]++
+	if j.starts[s.Task.Index] > 1 && !j.Idempotent {
+		v.violate(now, j, "at-most-once", "task %d started %d times", s.Task.Index, j.starts[s.Task.Index])
+	}
+	if j.denied && j.open <= 0 {
+		v.violate(now, j, "not-run-is-true", "task %d started after a reply that nothing ran", s.Task.Index)
+	}
+	if since, leaving := v.drains[minion]; leaving && now.Sub(since) > DrainAllowance {
+		v.violate(now, j, "leaving-gets-nothing", "%s got task %d %v after it began to leave", minion, s.Task.Index, now.Sub(since))
+	}
+}
+
+// Ended notes the end of a task at a minion.
+func (v *Verifier) Ended(now time.Time, id task.ID, attempt task.Attempt, what, minion string) {
+	if j := v.jobs[id.Job]; j != nil {
+		j.note(now, what, minion, id.Index, attempt)
+	}
+}
+
+// Left notes that a minion began to leave.
+func (v *Verifier) Left(now time.Time, minion string) { v.drains[minion] = now }
+
+// Replied checks a reply as its caller receives it.
+func (v *Verifier) Replied(now time.Time, j *Job, entry string, deadline time.Time, a dispatcher.Answer) {
+	j.open--
+	j.note(now, "replied "+a.Outcome.String(), entry, -1, 0)
+	if now.After(deadline) {
+		v.violate(now, j, "in-time", "the reply came %v after the deadline", now.Sub(deadline))
+	}
+	switch a.Outcome {
+	case task.Complete:
+		v.checkAnswer(now, j, a.Responses)
+	case task.NotRun:
+		v.checkNotRun(now, j)
+	case task.Failed, task.MayHaveRun:
+	default:
+		v.violate(now, j, "complete-or-failed", "the reply has the outcome %d", a.Outcome)
+	}
+}
+
+// Close checks that nobody still waits at the end of the experiment.
+func (v *Verifier) Close(now time.Time, j *Job) {
+	if j.open > 0 {
+		v.violate(now, j, "always-a-reply", "%d submissions got no reply", j.open)
+	}
+}
+
+func (v *Verifier) checkNotRun(now time.Time, j *Job) {
+	j.denied = true
+	for i, n := range j.starts {
+		if n > 0 {
+			v.violate(now, j, "not-run-is-true", "the reply says that nothing ran, but task %d had started", i)
+			return
+		}
+	}
+}
+
+func (v *Verifier) checkAnswer(now time.Time, j *Job, responses []task.Response) {
+	if len(responses) != len(j.Bodies) {
+		v.violate(now, j, "complete-or-failed", "the answer has %d of %d parts", len(responses), len(j.Bodies))
+		return
+	}
+	for i, r := range responses {
+		if !bytes.HasPrefix(r.Body, j.Bodies[i]) {
+			v.violate(now, j, "own-answer", "part %d is the answer to something else", i)
+			return
+		}
+	}
+	if j.answer == nil {
+		j.answer = responses
+	}
+	if !j.Keyed || j.Idempotent {
+		return
+	}
+	for i, r := range responses {
+		if !bytes.Equal(r.Body, j.answer[i].Body) {
+			v.violate(now, j, "same-answer", "part %d differs from the first answer", i)
+			return
+		}
+	}
+}
+
+func (v *Verifier) violate(now time.Time, j *Job, promise, format string, args ...any) {
+	v.Violations = append(v.Violations, Violation{
+		Promise: promise, Job: j.ID, At: now.Sub(v.epoch),
+		Detail: fmt.Sprintf(format, args...), Trace: j.lines(v.epoch),
+	})
+}
+
+func (j *Job) note(now time.Time, what, who string, index int, attempt task.Attempt) {
+	j.trace = append(j.trace, step{now, what, who, index, attempt})
+}
+
+// Trace returns what happened to a job, one step a line.
+func (v *Verifier) Trace(j *Job) []string { return j.lines(v.epoch) }
+
+func (j *Job) lines(epoch time.Time) []string {
+	lines := make([]string, 0, len(j.trace))
+	for _, s := range j.trace {
+		var b strings.Builder
+		fmt.Fprintf(&b, "%v %s, %s", s.at.Sub(epoch), s.what, s.who)
+		if s.index >= 0 {
+			fmt.Fprintf(&b, ", task %d attempt %d", s.index, s.attempt)
+		}
+		lines = append(lines, b.String())
+	}
+	return lines
+}
--- /dev/null
+++ b/measurer/world.go
@@ -0,0 +1,163 @@
+package measurer
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"agatevalve/common/task"
+	"agatevalve/dispatcher"
+	"agatevalve/measurer/verifier"
+	"agatevalve/router"
+	"agatevalve/runner"
+)
+
+// Streams of random numbers; each part has its own, so that all policies meet
+// the same arrivals and service times.
+const (
+	arrivalStream = iota + 1
+	callerStream
+	storeStream
+	entryStream
+	agentStream
+)
+
+// world is one experiment: the deciding cores, and all that is emulated around
+// them.
+type world struct {
+	*loop
+	deployment Deployment
+	trial      trial
+	policy     contender
+	seed       uint64
+	tuning     Tuning
+	entries    []*entryNode
+	agents     []*agentNode
+	store      *store
+	callers    *callers
+	verifier   *verifier.Verifier
+	meter      *meter
+	tamper     tamper
+}
+
+// tamper plants faults in the cores' inputs and outputs, to show that the
+// verifier sees them. Its zero value plants none.
+type tamper struct {
+	entryCommands func([]dispatcher.Command) []dispatcher.Command
+	agentCommands func([]runner.Command) []runner.Command
+	// replyDelay holds every reply back.
+	replyDelay time.Duration
+	// deafToDrain and deafToWithdrawal keep these events from the cores.
+	deafToDrain      bool
+	deafToWithdrawal bool
+}
+
+func newWorld(d Deployment, t trial, p contender, o Options, plant tamper) *world {
+	w := &world{
+		loop: newLoop(), deployment: d, trial: t, policy: p, seed: o.Seed, tuning: o.Tuning,
+		verifier: verifier.New(epoch), tamper: plant,
+	}
+	w.meter = newMeter(w)
+	w.store = newStore(w)
+	for i := range t.shares(d) {
+		w.entries = append(w.entries, newEntryNode(w, i))
+	}
+	for i := range d.Factors {
+		w.agents = append(w.agents, newAgentNode(w, i))
+	}
+	w.callers = newCallers(w)
+	return w
+}
+
+func (w *world) stream(kind, index int) *rand.Rand {
+	return rand.New(rand.NewPCG(w.seed, uint64(kind)<<32|uint64(index)))
+}
+
+// run lets the experiment happen and returns its figures.
+func (w *world) run() Figures {
+	for _, a := range w.agents {
+		a.begin()
+	}
+	// Every agent is known everywhere before the first arrival.
+	w.after(settleIn, w.callers.begin)
+	if w.trial.fault != nil {
+		w.at(epoch.Add(w.trial.faultAt), func() { w.trial.fault(w) })
+	}
+	w.at(epoch.Add(w.trial.warm), w.meter.begin)
+	w.at(epoch.Add(w.trial.end()), w.meter.end)
+	w.loop.run(epoch.Add(w.trial.end() + drainTime))
+	w.callers.close()
+	return w.meter.figures()
+}
+
+const (
+	// settleIn is the time for announcements before the first arrival.
+	settleIn = 100 * time.Millisecond
+	// drainTime lets the last deadlines pass after the last arrival.
+	drainTime = jobDeadline + 5*time.Second
+)
+
+// plan returns the routing decision for a submission.
+func (w *world) plan(idempotent bool) router.Plan {
+	route := router.Route{Name: chargeRoute, Pool: w.deployment.Pool}
+	if idempotent {
+		route = router.Route{Name: checkRoute, Pool: w.deployment.Pool, Idempotent: true, WasteWeight: w.wasteWeight()}
+	}
+	return router.Plan{Revision: 1, Route: route, Pool: router.Pool{Name: w.deployment.Pool, Quotas: w.trial.quotas}}
+}
+
+func (w *world) wasteWeight() int {
+	if w.trial.weight != nil {
+		return *w.trial.weight
+	}
+	return w.deployment.WasteWeight
+}
+
+const (
+	// chargeRoute is not idempotent, checkRoute is.
+	chargeRoute = "charges"
+	checkRoute  = "checks"
+)
+
+// address makes up the address of a process.
+func address(kind, index int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(kind), byte(index >> 8), byte(index)}), 7000)
+}
+
+// entryOf returns the live entry of an identity, or nil.
+func (w *world) entryOf(id task.Process) *entryNode {
+	for _, e := range w.entries {
+		if e.alive && e.self == id {
+			return e
+		}
+	}
+	return nil
+}
+
+// agentAt returns the agent at an address, in whatever incarnation.
+func (w *world) agentAt(at netip.AddrPort) *agentNode {
+	for _, a := range w.agents {
+		if a.address == at {
+			return a
+		}
+	}
+	return nil
+}
+
+// nextIncarnation numbers the runs of a process.
+func nextIncarnation(id task.Process) task.Process {
+	id.Incarnation++
+	return id
+}
+
+func processName(kind string, i int) string { return fmt.Sprintf("%s-%d", kind, i+1) }
+
+// bodyOf is the request body of a task; it names the task, so that a crossed
+// answer shows.
+func bodyOf(job task.JobID, index int) []byte {
+	body := make([]byte, 0, len(job)+4)
+	body = append(body, job[:]...)
+	return binary.BigEndian.AppendUint32(body, uint32(index))
+}
