entry: Prove a frozen agent and a frozen owner in separate processes

Cause: a paused process doesn't know that its links were given up or that its job has a new owner. Change: tests only. An agent is stopped by SIGSTOP in the middle of a job until its entry gives the link up, and an entry until the other one has answered its job; both are thawed. Conclusion: no second start; an owner that was replaced may refuse its caller.

--- a/entry/processes_test.go
+++ b/entry/processes_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -207,3 +208,47 @@
 		}
 	}
 }
+
+// TestFrozenAgentIsSettled freezes an agent in the middle of a job until its
+// entry has given the link up, and thaws it.
+func TestFrozenAgentIsSettled(t *testing.T) {
+	is := is.New(t)
+	s := startSystem(t)
+	answers := make(chan answer)
+	go func() { answers <- submit(t, s.callers(0), "job-1", slowJob()) }()
+	s.await("some tasks have started", func() bool { return len(s.starts()) > tasks/10 })
+	frozen := s.agents[0].command.Process
+	is.NoErr(frozen.Signal(syscall.SIGSTOP))
+	s.await("the entry gives the link up", func() bool {
+		_, body := get("http://" + s.operators(0) + "/metrics")
+		return strings.Contains(body, "agatevalve_links_silent_total") && !strings.Contains(body, "agatevalve_links_silent_total 0\n")
+	})
+	is.NoErr(frozen.Signal(syscall.SIGCONT))
+	first := <-answers
+	is.Equal(first.status, http.StatusOK)
+	checkOnce(t, s, first.job)
+	is.Equal(submit(t, s.callers(1), "job-1", slowJob()), first)
+}
+
+// TestFrozenOwnerIsReplaced freezes the entry that owns a running job, has the
+// other one take the job over, and thaws the first, which knows nothing of it.
+func TestFrozenOwnerIsReplaced(t *testing.T) {
+	is := is.New(t)
+	s := startSystem(t)
+	answers := make(chan answer)
+	go func() { answers <- submit(t, s.callers(0), "job-1", slowJob()) }()
+	s.await("some tasks have started", func() bool { return len(s.starts()) > tasks/10 })
+	frozen := s.entries[0].command.Process
+	is.NoErr(frozen.Signal(syscall.SIGSTOP))
+	second := submit(t, s.callers(1), "job-1", slowJob())
+	is.NoErr(frozen.Signal(syscall.SIGCONT))
+	first := <-answers
+	t.Logf("the first entry answered with %d, the second with %d", first.status, second.status)
+	is.Equal(second.status, http.StatusOK)
+	checkOnce(t, s, second.job)
+	if first.status == http.StatusOK {
+		is.Equal(first, second)
+		return
+	}
+	is.True(!strings.Contains(first.body, "not-run")) // The job did run.
+}
--- a/entry/system_test.go
+++ b/entry/system_test.go
@@ -106,6 +106,12 @@
 	for i := range 2 {
 		s.entries = append(s.entries, s.start("agatevalve", "serve", fmt.Sprintf("entry-%d.json", i+1)))
 	}
+	for i := range 2 {
+		s.await("an entry is ready", func() bool {
+			status, _ := get("http://" + s.operators(i) + "/readyz")
+			return status == http.StatusOK
+		})
+	}
 	for i := range 3 {
 		s.agents = append(s.agents, s.start("agatevalve-agent", fmt.Sprintf("agent-%d.json", i+1)))
 	}
