--- a/linker/linker.go
+++ b/linker/linker.go
@@ -35,8 +35,8 @@
 	lastReopen  = 2 * time.Second
 	// maxDoublings keeps the doubled pause from overflowing.
 	maxDoublings = 8
-	// closeWithin bounds the writing of what waits when the linker closes.
-	closeWithin = time.Second
+	// DefaultCloseWithin bounds the writing of what waits when the linker closes.
+	DefaultCloseWithin = time.Second
 )
 
 // Events takes what happened towards the core.
@@ -61,6 +61,7 @@
 	PingAfter    time.Duration
 	SilentAfter  time.Duration
 	IdlePing     time.Duration
+	CloseWithin  time.Duration
 	RingSize     int
 	MessageBytes int
 }
@@ -148,7 +149,7 @@
 		}
 	}
 	l.mu.Unlock()
-	timer := time.AfterFunc(closeWithin, l.cancel)
+	timer := time.AfterFunc(l.o.CloseWithin, l.cancel)
 	l.group.Wait()
 	timer.Stop()
 	l.cancel()
@@ -179,6 +180,9 @@
 	if o.IdlePing == 0 {
 		o.IdlePing = DefaultIdlePing
 	}
+	if o.CloseWithin == 0 {
+		o.CloseWithin = DefaultCloseWithin
+	}
 	if o.RingSize == 0 {
 		o.RingSize = DefaultRingSize
 	}
