balancer: Choose by expected ratio, and let others' load fade

Cause: the rule that waits for a faster minion counted slots that other entries race for and was decided anew at each pump, so a 50 ms task waited 946 ms beside idle slots; and an entry hears of a slot that another entry's task freed only with its own next frame there.

--- a/attendant/attendant_test.go
+++ b/attendant/attendant_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/goleak"
 
 	"agatevalve/attendant"
+	"agatevalve/common/fault"
 	"agatevalve/common/task"
 	"agatevalve/dialer"
 	"agatevalve/dispatcher"
@@ -286,3 +287,37 @@
 	}
 	return true
 }
+
+func TestStopIsBounded(t *testing.T) {
+	begun, release := make(chan struct{}), make(chan struct{})
+	b := newBench(t, 1, func(http.ResponseWriter, *http.Request) {
+		close(begun)
+		<-release
+	})
+	s := b.link(t.Context())
+	b.is.NoErr(s.Send(frameOf(start(0, soon()))))
+	<-begun
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	err := b.agent.Close(ctx)
+	b.is.Equal(fault.KindOf(err), fault.Uncertain)
+	b.is.True(strings.Contains(err.Error(), "1 running"))
+	close(release)
+}
+
+func TestDrainedAgentComesBack(t *testing.T) {
+	b := newBench(t, 1, func(http.ResponseWriter, *http.Request) {})
+	s := b.link(t.Context())
+	answer, err := b.client.Drain(t.Context(), connect.NewRequest(&v1.DrainRequest{Leave: true, Who: "ana"}))
+	b.is.NoErr(err)
+	b.is.True(answer.Msg.GetLoad().GetLeaving())
+	b.is.NoErr(s.Send(frameOf(start(0, soon()))))
+	b.is.Equal(b.results(s, 1)[0].Refusal, task.Leaving)
+	_, err = b.client.Drain(t.Context(), connect.NewRequest(&v1.DrainRequest{Who: "ana"}))
+	b.is.NoErr(err)
+	b.is.NoErr(s.Send(frameOf(start(1, soon()))))
+	got := b.results(s, 1)[0]
+	b.is.Equal(got.State, task.Finished)
+	b.is.NoErr(s.Send(ack(got)))
+	b.is.NoErr(b.agent.Close(t.Context()))
+}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -12,8 +12,9 @@
 type Options struct {
 	// Zone is the entry's own availability zone.
 	Zone string
-	// Depth is how many tasks beyond its slots a minion may hold.
-	Depth int
+	// Queue is how many tasks beyond its slots a minion may hold when a task
+	// has waited for long.
+	Queue int
 	// Random breaks ties.
 	Random *rand.Rand
 }
@@ -41,7 +42,7 @@
 }
 
 // Announce adds or refreshes a minion.
-func (b *Balancer[P]) Announce(info Info, load Load) {
+func (b *Balancer[P]) Announce(now time.Time, info Info, load Load) {
 	m := b.minions[info.ID]
 	if m == nil {
 		m = &Minion{Speed: 1}
@@ -53,7 +54,7 @@
 		b.joinPools(m)
 	}
 	m.Info = info
-	m.take(load)
+	m.take(now, load)
 }
 
 // Forget removes a minion; work already there is unaffected.
@@ -67,9 +68,9 @@
 }
 
 // Observe takes in the load that rode on a frame.
-func (b *Balancer[P]) Observe(id task.Process, load Load) {
+func (b *Balancer[P]) Observe(now time.Time, id task.Process, load Load) {
 	if m := b.minions[id]; m != nil {
-		m.take(load)
+		m.take(now, load)
 	}
 }
 
@@ -160,6 +161,7 @@
 	m.due = now.Add(max(stallFactor*o.Mean, stallFloor))
 	m.health.observe(now, o.Failed, b.failuresBeside(m))
 	if o.Answered && !o.Failed && o.Mean > 0 {
+		m.service += time.Duration(float64(o.Elapsed-m.service) * usualGain)
 		m.learn(now, float64(o.Elapsed)/float64(o.Mean))
 	}
 }
@@ -206,18 +208,22 @@
 }
 
 func (b *Balancer[P]) candidate(now time.Time, m *Minion, slotCap int) Candidate {
-	limit := m.Slots + b.options.Depth
+	slots := m.Slots
 	if slotCap > 0 {
-		limit = min(limit, slotCap)
+		slots = min(slots, slotCap)
 	}
-	if m.health.probation || m.trial(now) {
-		limit = 1
-	}
-	free := m.Busy() < limit && !now.Before(m.blocked)
-	if limit == 1 && m.Slots > 1 {
-		free = m.Own == 0 && !now.Before(m.blocked)
+	c := Candidate{Minion: m, Slots: slots, Busy: m.busyAt(now), Speed: m.speedAt(now)}
+	switch {
+	case now.Before(m.blocked):
+	case m.health.probation || m.trial(now):
+		if m.Own == 0 {
+			c.Room = 1
+		}
+	default:
+		c.Room = float64(slots) - c.Busy
+		c.Queue = b.options.Queue
 	}
-	return Candidate{Minion: m, Limit: max(limit, 1), Speed: m.speedAt(now), Free: free}
+	return c
 }
 
 // failuresBeside returns the mean failure share of the other minions that
@@ -274,10 +280,12 @@
 
 // take updates the load. The agent's count includes the own tasks that it has
 // confirmed; the rest belongs to other entries.
-func (m *Minion) take(load Load) {
+func (m *Minion) take(now time.Time, load Load) {
 	m.Slots = load.Slots
 	m.Leaving = load.Leaving
 	m.Others = max(load.Running+load.Queued-m.accepted, 0)
+	m.seen = now
+	m.usual += (float64(m.Others) - m.usual) * usualGain
 }
 
 func (m *Minion) learn(now time.Time, ratio float64) {
--- a/balancer/minion.go
+++ b/balancer/minion.go
@@ -4,6 +4,7 @@
 package balancer
 
 import (
+	"math"
 	"time"
 
 	"agatevalve/common/task"
@@ -35,8 +36,14 @@
 	Own int
 	// accepted is the part of Own that the agent has confirmed; <= Own.
 	accepted int
-	// Others estimates the tasks of other entries there; never negative.
+	// Others is the number of tasks of other entries there when the agent's
+	// last frame left; never negative.
 	Others int
+	// seen is when Others was reported, and usual its moving mean.
+	seen  time.Time
+	usual float64
+	// service is the moving mean of the time that tasks take there.
+	service time.Duration
 	// Leaving means that no new work goes there.
 	Leaving bool
 	// Speed is its time per task over the mean of the pool; 1 is average.
@@ -50,8 +57,17 @@
 	health health
 }
 
-// Busy returns the estimated number of tasks at the minion.
-func (m *Minion) Busy() int { return m.Own + m.Others }
+// busyAt returns the expected number of tasks at the minion. What the last
+// frame said of other entries' tasks fades towards the usual number, as those
+// tasks end and others begin.
+func (m *Minion) busyAt(now time.Time) float64 {
+	others := float64(m.Others)
+	if m.service > 0 {
+		age := float64(now.Sub(m.seen)) / float64(m.service)
+		others = m.usual + (others-m.usual)*math.Exp(-age)
+	}
+	return float64(m.Own) + others
+}
 
 // stalled reports whether the minion has work and has been silent for too long.
 func (m *Minion) stalled(now time.Time) bool {
@@ -77,6 +93,10 @@
 	return m.Speed > trialSpeed && now.Sub(m.learned) > forgetAfter
 }
 
+// DefaultQueue is how many tasks an entry lets wait at a minion. Agents keep a
+// longer queue, so that several entries may do so at once.
+const DefaultQueue = 4
+
 const (
 	// forgetAfter is how long a learned speed holds without a new answer.
 	forgetAfter = 10 * time.Second
@@ -88,6 +108,9 @@
 	stallFactor = 8
 	// stallFloor is the least silence that makes a minion stalled.
 	stallFloor = time.Second
+	// usualGain is the weight of a new report in the usual number of others,
+	// and of a new answer in the mean service time.
+	usualGain = 1.0 / 32
 	// busyPause keeps work away from a minion that refused as busy.
 	busyPause = 5 * time.Millisecond
 )
--- a/balancer/policy.go
+++ b/balancer/policy.go
@@ -9,8 +9,11 @@
 type Work struct {
 	// Mean is the expected time at an average minion.
 	Mean time.Duration
-	// Waiting counts the tasks that wait behind this one.
-	Waiting int
+	// Typical is the harmonic mean of that time: a wait weighs the most on
+	// short tasks.
+	Typical time.Duration
+	// Waited is how long the task has waited.
+	Waited time.Duration
 	// Zone is the entry's own availability zone.
 	Zone string
 }
@@ -18,12 +21,16 @@
 // Candidate is a minion that may take work now, or may soon.
 type Candidate struct {
 	Minion *Minion
-	// Limit is the number of tasks that it may hold.
-	Limit int
+	// Slots is the number of tasks that it runs at once for this pool.
+	Slots int
+	// Busy is the expected number of its tasks, those of other entries included.
+	Busy float64
+	// Room is how many more tasks it may run; below 1 it is full.
+	Room float64
+	// Queue is how many tasks may wait there for a slot.
+	Queue int
 	// Speed is its expected time over the pool's mean.
 	Speed float64
-	// Free is false when it holds as much as it may.
-	Free bool
 }
 
 // Policy picks a candidate. It returns its index, or -1 to wait.
@@ -81,91 +88,60 @@
 	return best
 }
 
-// Expected picks the free minion with the shortest expected completion, and
-// waits when a faster one is expected to be free soon enough. The rule to wait
-// is a threshold on the queue, after Lin and Kumar, "Optimal control of a
-// queueing system with two heterogeneous servers" (1984).
+// Expected picks the minion with the least expected ratio of answer time to
+// service time. It is shortest expected delay (Winston, 1977), with the delay
+// taken relative to a typical task. Work waits at the entry while every minion
+// seems full; since other entries' tasks are known late, work that has waited
+// may queue at a minion after all.
 type Expected struct{}
 
 const (
-	// speedBand is the difference in expected time that counts as none, so
-	// that minions of like speed are loaded evenly.
-	speedBand = 0.15
+	// patience is the part of a typical service time for which work waits
+	// before one more task may queue at a minion.
+	patience = 0.5
 	// zoneCost is the expected extra time in another availability zone.
 	zoneCost = 3 * time.Millisecond
+	// evenness is the difference in ratio that is left to chance, so that
+	// several entries don't all pick the same minion.
+	evenness = 0.02
 )
 
-// Pick returns the best free candidate, or -1 to wait for a faster one.
+// Pick returns the best candidate that has room, or -1 to wait.
 func (Expected) Pick(_ time.Time, work Work, candidates []Candidate, random *rand.Rand) int {
-	best := bestFree(work, candidates, random)
-	if best < 0 {
-		return -1
-	}
-	if waitIsShorter(work, candidates, candidates[best].Speed) {
-		return -1
-	}
-	return best
-}
-
-func bestFree(work Work, candidates []Candidate, random *rand.Rand) int {
-	fastest := -1.0
-	for i := range candidates {
-		c := &candidates[i]
-		if c.Free && (fastest < 0 || c.Speed < fastest) {
-			fastest = c.Speed
-		}
-	}
-	best, bestScore, ties := -1, 0.0, 0
+	best, least := -1, 0.0
 	for i := range candidates {
 		c := &candidates[i]
-		if !c.Free || c.Speed > fastest*(1+speedBand) {
+		if c.Room+queueFor(work, c) < 1 {
 			continue
 		}
-		score := idleScore(work, c)
-		if best >= 0 && score > bestScore {
-			continue
-		}
-		if best < 0 || score < bestScore {
-			best, bestScore, ties = i, score, 1
-			continue
-		}
-		ties++
-		if random.IntN(ties) == 0 {
-			best = i
+		ratio := expectedRatio(work, c) + random.Float64()*evenness
+		if best < 0 || ratio < least {
+			best, least = i, ratio
 		}
 	}
 	return best
 }
 
-// idleScore is the share of busy slots, with the cost of another zone added.
-func idleScore(work Work, c *Candidate) float64 {
-	score := float64(c.Minion.Busy()) / float64(c.Limit)
-	if c.Minion.Zone != work.Zone && work.Mean > 0 {
-		score += float64(zoneCost) / float64(work.Mean)
+// queueFor returns how many tasks may wait at the minion by now.
+func queueFor(work Work, c *Candidate) float64 {
+	if work.Typical <= 0 {
+		return 0
 	}
-	return score
+	waited := float64(work.Waited) / float64(work.Typical)
+	return min(waited/patience, float64(c.Queue))
 }
 
-// waitIsShorter compares the extra time at the best free minion with the wait
-// for a slot at the clearly faster ones, all of which are busy.
-func waitIsShorter(work Work, candidates []Candidate, speed float64) bool {
-	rate := 0.0
-	fast := 0.0
-	slots := 0
-	for i := range candidates {
-		c := &candidates[i]
-		if c.Free || c.Speed*(1+speedBand) >= speed {
-			continue
-		}
-		rate += float64(c.Limit) / c.Speed
-		fast += c.Speed * float64(c.Limit)
-		slots += c.Limit
+// expectedRatio estimates the answer time over that of an average minion.
+func expectedRatio(work Work, c *Candidate) float64 {
+	if work.Typical <= 0 {
+		return c.Speed
 	}
-	if slots == 0 {
-		return false
+	ahead := max(1-c.Room, 0)
+	wait := ahead / float64(max(c.Slots, 1)) * c.Speed * float64(work.Mean)
+	if c.Minion.Zone != work.Zone {
+		wait += float64(zoneCost)
 	}
-	wait := float64(work.Waiting+1) / rate
-	return fast/float64(slots)+wait < speed
+	return c.Speed + wait/float64(work.Typical)
 }
 
 // compile-time checks that each policy fits the port.
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -12,9 +12,9 @@
 
 // Chooser places tasks on minions; see balancer.Balancer.
 type Chooser interface {
-	Announce(info balancer.Info, load balancer.Load)
+	Announce(now time.Time, info balancer.Info, load balancer.Load)
 	Forget(id task.Process)
-	Observe(id task.Process, load balancer.Load)
+	Observe(now time.Time, id task.Process, load balancer.Load)
 	Heard(id task.Process, until time.Time)
 	Get(id task.Process) *balancer.Minion
 	Pool(name string) []*balancer.Minion
@@ -101,7 +101,7 @@
 // New returns a core that knows no agents.
 func New(o Options) *Core {
 	if o.Chooser == nil {
-		o.Chooser = balancer.New(balancer.Expected{}, balancer.Options{Zone: o.Zone, Random: o.Random})
+		o.Chooser = balancer.New(balancer.Expected{}, balancer.Options{Zone: o.Zone, Queue: balancer.DefaultQueue, Random: o.Random})
 	}
 	return &Core{
 		options: o,
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -29,6 +29,8 @@
 	left int
 	// queued is true while the job stands in its pool's queue.
 	queued bool
+	// began is when the job was admitted.
+	began time.Time
 	// rank orders the job within its team.
 	rank time.Time
 	// bytes sums the responses so far.
--- a/dispatcher/learning.go
+++ b/dispatcher/learning.go
@@ -23,6 +23,8 @@
 	mean time.Duration
 	low  time.Duration
 	high time.Duration
+	// rate is the mean of the inverse time, per second.
+	rate float64
 	// answers counts the answers observed.
 	answers int
 }
@@ -47,14 +49,30 @@
 	t.answers++
 	if t.answers == 1 {
 		t.mean, t.low, t.high = elapsed, elapsed, elapsed
+		t.rate = rateOf(elapsed)
 		return
 	}
 	gain := max(meanGain, 1/float64(t.answers))
 	t.mean += time.Duration(float64(elapsed-t.mean) * gain)
+	t.rate += (rateOf(elapsed) - t.rate) * gain
 	t.low = follow(t.low, elapsed, lowQuantile)
 	t.high = follow(t.high, elapsed, highQuantile)
 }
 
+// typical returns the harmonic mean of the service time, or the mean before
+// the first answer.
+func (t *serviceTimes) typical() time.Duration {
+	if t.rate == 0 {
+		return t.mean
+	}
+	return time.Duration(float64(time.Second) / t.rate)
+}
+
+// rateOf returns the inverse of a time, per second.
+func rateOf(elapsed time.Duration) float64 {
+	return 1 / max(elapsed, time.Millisecond).Seconds()
+}
+
 // follow moves a quantile estimate towards a new observation.
 func follow(estimate, observed time.Duration, quantile float64) time.Duration {
 	step := quantileStep * quantile
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -43,7 +43,7 @@
 		pr.member = true
 		c.replaceOlder(a.Peer.Process)
 	}
-	c.chooser.Announce(balancer.Info{
+	c.chooser.Announce(c.now, balancer.Info{
 		ID: a.Peer.Process, Zone: a.Zone, Pools: a.Pools, Expires: a.Expires,
 	}, loadOf(a.Load))
 	c.wake(timer{at: a.Expires, kind: timerMembers})
@@ -62,7 +62,7 @@
 }
 
 func (c *Core) loadSeen(e LoadSeen) {
-	c.chooser.Observe(e.Agent, loadOf(e.Load))
+	c.chooser.Observe(c.now, e.Agent, loadOf(e.Load))
 	c.chooser.Heard(e.Agent, c.now.Add(heardFor))
 	c.markAgent(e.Agent)
 }
--- a/dispatcher/retrying.go
+++ b/dispatcher/retrying.go
@@ -93,7 +93,7 @@
 		return
 	}
 	slow := u.sends[0].agent
-	work := c.workOf(p, j)
+	work := c.workOf(j)
 	allow := func(id task.Process) bool { return id != slow && u.allows(id) }
 	id, ok := c.chooser.Choose(c.now, p.name, j.submission.Plan.Pool.SlotsPerMinion, work, allow)
 	if !ok {
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -108,7 +108,7 @@
 // sendNext sends the job's next unit, if a minion has room.
 func (c *Core) sendNext(p *pool, j *job) bool {
 	u := j.next()
-	work := c.workOf(p, j)
+	work := c.workOf(j)
 	slotCap := j.submission.Plan.Pool.SlotsPerMinion
 	allow := func(id task.Process) bool { return u.allows(id) }
 	id, ok := c.chooser.Choose(c.now, p.name, slotCap, work, allow)
@@ -122,9 +122,9 @@
 	return true
 }
 
-func (c *Core) workOf(p *pool, j *job) balancer.Work {
-	mean := c.times(j.submission.Plan.Route.Name).mean
-	return balancer.Work{Mean: mean, Waiting: max(p.waiting-1, 0)}
+func (c *Core) workOf(j *job) balancer.Work {
+	times := c.times(j.submission.Plan.Route.Name)
+	return balancer.Work{Mean: times.mean, Typical: times.typical(), Waited: c.now.Sub(j.began)}
 }
 
 // allows reports whether the unit may be sent to an agent.
--- a/dispatcher/submitting.go
+++ b/dispatcher/submitting.go
@@ -270,6 +270,7 @@
 	for i := len(j.units) - 1; i >= 0; i-- {
 		c.enqueue(&j.units[i])
 	}
+	j.began = c.now
 	p := c.poolOf(j)
 	mean := c.times(j.submission.Plan.Route.Name).mean
 	slots, _ := c.chooser.Capacity(c.now, p.name)
