--- a/measurer/agent.go
+++ b/measurer/agent.go
@@ -269,6 +269,7 @@
 		p := f.to(c.To)
 		p.accepted = append(p.accepted, dispatcher.Accepted{Agent: a.self, Task: c.Task, Attempt: c.Attempt})
 	case runner.Refuse:
+		a.world.meter.startRefused(c.Report.Refusal)
 		a.world.verifier.Refused(a.world.now, c.Report, a.self.Name)
 		p := f.to(c.To)
 		p.refused = append(p.refused, dispatcher.Refused{Agent: a.self, Report: c.Report})
--- a/measurer/entry.go
+++ b/measurer/entry.go
@@ -231,6 +231,7 @@
 			Task: c.Start.Task, Attempt: c.Start.Attempt,
 			State: task.Unstarted, Refusal: task.Unsent,
 		}
+		e.world.meter.startRefused(task.Unsent)
 		e.later(0, dispatcher.Refused{Agent: c.Agent.Process, Report: report})
 	}
 }
--- a/measurer/faults.go
+++ b/measurer/faults.go
@@ -15,12 +15,18 @@
 	rotationTime = 2 * time.Second
 	// idlePoll is how often a draining process looks whether it is done.
 	idlePoll = 100 * time.Millisecond
+	// silenceEvery is the pause between two links that fall silent.
+	silenceEvery = 2 * time.Second
 	// cancelShare of the callers go away in a wave.
 	cancelShare = 0.7
 )
 
-// silenceOne makes the busiest entry's link to the first agent silent.
-func silenceOne(w *world) { w.entries[0].silence(w.agents[0]) }
+// silenceInTurn makes the busiest entry's links silent, one after another.
+func silenceInTurn(w *world) {
+	for i, a := range w.agents {
+		w.after(time.Duration(i)*silenceEvery, func() { w.entries[0].silence(a) })
+	}
+}
 
 func storeDown(w *world) {
 	w.store.down = true
--- a/measurer/figures.go
+++ b/measurer/figures.go
@@ -86,7 +86,9 @@
 
 // Wasted messages for each 1,000 answered tasks.
 type Wasted struct {
-	// Refusals are starts that an agent refused.
+	// Busy are starts that an agent refused because it was full.
+	Busy float64
+	// Refusals are starts that did not run for another reason.
 	Refusals float64
 	// Resends are starts sent again after a failure.
 	Resends float64
@@ -94,13 +96,16 @@
 	Unused float64
 	// Probes are questions about outstanding attempts.
 	Probes float64
+	// Unsent are starts that found no link and never left the entry; they are
+	// no messages and aren't part of the total.
+	Unsent float64
 	// Strays are reports that match no attempt; they follow from the others
 	// and aren't part of the total.
 	Strays float64
 }
 
 // Total returns the wasted messages of all kinds.
-func (w Wasted) Total() float64 { return w.Refusals + w.Resends + w.Unused + w.Probes }
+func (w Wasted) Total() float64 { return w.Busy + w.Refusals + w.Resends + w.Unused + w.Probes }
 
 // Target is a bound on a figure of the product's own policy.
 type Target struct {
--- a/measurer/json.go
+++ b/measurer/json.go
@@ -67,10 +67,12 @@
 
 type wireWasted struct {
 	Total    float64 `json:"total"`
-	Refusals float64 `json:"refusals"`
+	Busy     float64 `json:"busy-refusals"`
+	Refusals float64 `json:"other-refusals"`
 	Resends  float64 `json:"resends"`
 	Unused   float64 `json:"unused"`
 	Probes   float64 `json:"probes"`
+	Unsent   float64 `json:"unsent"`
 	Strays   float64 `json:"strays"`
 }
 
@@ -155,6 +157,6 @@
 
 func (w Wasted) toWire() wireWasted {
 	return wireWasted{
-		Total: w.Total(), Refusals: w.Refusals, Resends: w.Resends, Unused: w.Unused, Probes: w.Probes, Strays: w.Strays,
+		Total: w.Total(), Busy: w.Busy, Unsent: w.Unsent, Refusals: w.Refusals, Resends: w.Resends, Unused: w.Unused, Probes: w.Probes, Strays: w.Strays,
 	}
 }
--- /dev/null
+++ b/measurer/measurer_test.go
@@ -0,0 +1,67 @@
+package measurer_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"agatevalve/common/fault"
+	"agatevalve/measurer"
+)
+
+func short(scenario string) measurer.Options {
+	return measurer.Options{
+		Scenario: scenario, Deployment: "campanario", Seed: 1,
+		Tuning: measurer.DefaultTuning(), Length: 20 * time.Second, OwnOnly: true,
+	}
+}
+
+func TestSameSeedGivesSameFigures(t *testing.T) {
+	is := is.New(t)
+	for _, scenario := range []string{"unequal-entries", "entry-and-agent-killed"} {
+		o := short(scenario)
+		o.Length = 5 * time.Second
+		o.OwnOnly = scenario != "unequal-entries"
+		var runs [2]bytes.Buffer
+		for i := range runs {
+			report, err := measurer.Run(o)
+			is.NoErr(err)
+			is.NoErr(report.WriteJSON(&runs[i]))
+		}
+		is.True(runs[0].Len() > 0)
+		is.Equal(runs[0].String(), runs[1].String())
+	}
+}
+
+func TestAnotherSeedGivesOtherFigures(t *testing.T) {
+	is := is.New(t)
+	first, err := measurer.Run(short("unequal-entries"))
+	is.NoErr(err)
+	o := short("unequal-entries")
+	o.Seed = 2
+	second, err := measurer.Run(o)
+	is.NoErr(err)
+	is.True(first.Scenarios[0].Trials[0].Own().Ratio != second.Scenarios[0].Trials[0].Own().Ratio)
+}
+
+func TestUnknownNamesAreRefused(t *testing.T) {
+	is := is.New(t)
+	_, err := measurer.Run(measurer.Options{Scenario: "none", Deployment: "campanario"})
+	is.Equal(fault.KindOf(err), fault.NotFound)
+	_, err = measurer.Run(measurer.Options{Scenario: "all", Deployment: "none"})
+	is.Equal(fault.KindOf(err), fault.NotFound)
+}
+
+func TestTableNamesEveryTarget(t *testing.T) {
+	is := is.New(t)
+	report, err := measurer.Run(short("unequal-entries"))
+	is.NoErr(err)
+	var table bytes.Buffer
+	is.NoErr(report.WriteTable(&table))
+	for _, target := range report.Scenarios[0].Targets {
+		is.True(strings.Contains(table.String(), target.Name))
+	}
+}
