dispatcher: Widen a claim whose agents are gone

Cause: a keyed job that came before any agent was known, or that outlived all agents of its claim, waited until its deadline beside free minions, since only the agents that a claim names may get its tasks. Ruled out: holding the claim until an agent is known, which leaves the second case and makes the store's write wait. Change: the owner claims once more under the next generation, naming the agents of old and those of now. Conclusion: a replaced agent no longer strands keyed jobs.

--- a/dispatcher/answers.go
+++ b/dispatcher/answers.go
@@ -71,6 +71,7 @@
 		return
 	}
 	c.stopUnits(j)
+	j.widening = nil
 	old := j.claim
 	j.phase = phaseClosing
 	j.answer = answer
--- a/dispatcher/claiming.go
+++ b/dispatcher/claiming.go
@@ -35,6 +35,10 @@
 // claimWon starts the job, or fences the former owner's agents first.
 func (c *Core) claimWon(claim Claim) {
 	j := c.jobs[claim.Job]
+	if j != nil && j.widening != nil && j.widening.Token == claim.Token {
+		c.widened(j)
+		return
+	}
 	if j == nil || !j.claiming() || j.claim.Token != claim.Token {
 		return
 	}
@@ -43,10 +47,7 @@
 		c.finish(j, j.answer)
 		return
 	}
-	j.allowed = make(map[task.Process]bool, len(claim.Agents))
-	for _, a := range claim.Agents {
-		j.allowed[a.Process] = true
-	}
+	j.allow(claim.Agents)
 	for i := range j.units {
 		j.units[i].attempts = task.Attempt(claim.Generation-1) * attemptsPerOwner
 	}
@@ -63,12 +64,60 @@
 	}
 }
 
+// allow lets the job's tasks go to the agents of its claim, and to no others.
+func (j *job) allow(agents []Peer) {
+	j.allowed = make(map[task.Process]bool, len(agents))
+	for _, a := range agents {
+		j.allowed[a.Process] = true
+	}
+}
+
+// widen claims a job again when none of the agents that its claim names is
+// left and others have come, so that its tasks may go to them. Tasks that run
+// go on. A stale owner can't do so: the claim must still be its own.
+func (c *Core) widen(j *job) {
+	if !j.claimed() || j.widening != nil || !j.startDeadline().After(c.now) {
+		return
+	}
+	claim := c.newClaim(j, j.claim.Generation+1, j.claim.Deadline)
+	if len(claim.Agents) == 0 || j.anyAllowed(claim.Agents) {
+		return
+	}
+	for _, a := range j.claim.Agents {
+		claim.Agents = mergePeer(claim.Agents, a)
+	}
+	j.widening = &claim
+	c.emit(TakeClaim{Old: j.claim, Claim: claim})
+}
+
+func (j *job) anyAllowed(agents []Peer) bool {
+	for _, a := range agents {
+		if j.allowed[a.Process] {
+			return true
+		}
+	}
+	return false
+}
+
+// widened lets tasks go to the agents that the claim names now.
+func (c *Core) widened(j *job) {
+	j.claim = *j.widening
+	j.widening = nil
+	j.allow(j.claim.Agents)
+	c.mark(c.poolOf(j))
+}
+
 // claiming reports whether the job waits for the fate of a claim.
 func (j *job) claiming() bool { return j.phase == phaseClaiming || j.phase == phaseClosing }
 
 // claimHeld turns to the entry that owns the job.
 func (c *Core) claimHeld(claim Claim) {
 	j := c.jobs[claim.Job]
+	if j != nil && j.phase == phaseRunning && j.widening != nil {
+		c.dropSends(j)
+		j.widening = nil
+		j.phase = phaseClaiming
+	}
 	if j == nil || !j.claiming() {
 		return
 	}
@@ -90,6 +139,10 @@
 
 func (c *Core) claimFailed(e ClaimFailed) {
 	j := c.jobs[e.Job]
+	if j != nil && j.phase == phaseRunning {
+		j.widening = nil
+		return
+	}
 	if j == nil || !j.claiming() {
 		return
 	}
@@ -242,6 +295,7 @@
 // ownershipLost asks who owns a job that an agent says is fenced.
 func (c *Core) ownershipLost(j *job) {
 	c.dropSends(j)
+	j.widening = nil
 	j.phase = phaseClaiming
 	j.claim.Token = c.options.Random.Uint64()
 	c.emit(WriteClaim{Claim: j.claim})
--- a/dispatcher/core_test.go
+++ b/dispatcher/core_test.go
@@ -44,8 +44,8 @@
 	}
 }
 
-func (e *entry) announce(name string, slots int) {
-	e.step(dispatcher.Announced{Announcement: dispatcher.Announcement{
+func (e *entry) announce(name string, slots int) []dispatcher.Command {
+	return e.step(dispatcher.Announced{Announcement: dispatcher.Announcement{
 		Peer: agentPeer(name), Pools: []string{"desk"},
 		Load: dispatcher.Load{Slots: slots}, Expires: e.now.Add(time.Hour),
 	}})
@@ -259,3 +259,17 @@
 	is.Equal(len(only[dispatcher.Reply](commands)), 0) // the key belongs to this content
 	is.Equal(len(only[dispatcher.WriteClaim](commands)), 1)
 }
+
+func TestClaimWithoutAgentsIsWidenedWhenOneComes(t *testing.T) {
+	is := is.New(t)
+	e := newEntry("one")
+	claims := only[dispatcher.WriteClaim](e.step(dispatcher.Submitted{Submission: e.submission("k", 1, false)}))
+	is.Equal(len(claims[0].Claim.Agents), 0)
+	e.step(dispatcher.ClaimWon{Claim: claims[0].Claim})
+	takes := only[dispatcher.TakeClaim](e.announce("a", 1))
+	is.Equal(len(takes), 1)
+	is.Equal(takes[0].Claim.Agents, []dispatcher.Peer{agentPeer("a")})
+	sends := only[dispatcher.Send](e.step(dispatcher.ClaimWon{Claim: takes[0].Claim}))
+	is.Equal(len(sends), 1)
+	is.Equal(sends[0].Start.Generation, takes[0].Claim.Generation)
+}
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -17,6 +17,8 @@
 	claim Claim
 	// allowed holds the agents that may receive tasks; nil allows all.
 	allowed map[task.Process]bool
+	// widening is the claim under way that names more agents, or nil.
+	widening *Claim
 	// fencing holds the agents whose word is awaited during a takeover.
 	fencing map[task.Process]bool
 	// unfenced counts agents that couldn't be fenced: any task not found
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -114,6 +114,7 @@
 	id, ok := c.chooser.Choose(c.now, p.name, slotCap, work, allow)
 	if !ok {
 		j.pending = append(j.pending, u)
+		c.widen(j)
 		return false
 	}
 	c.unwait(u)
