runner: Keep less of a task that has ended

Cause: a remembered id took 718 bytes, so the default of 100,000 ids took more than half of the 128 MB that a node may spend. Ruled out: remembering fewer ids, because new starts are refused beyond them. Change: the work of a task goes with its acknowledgement, the tasks of a job are a sorted slice, and expiries hold pointers. The slow-entry test now fails when a result is broken; it waited for ever when a longer default queue made the largest response smaller than its own.

--- a/attendant/attendant_test.go
+++ b/attendant/attendant_test.go
@@ -283,9 +283,10 @@
 	answer, err := b.client.Settle(context.Background(), connect.NewRequest(settle))
 	b.is.NoErr(err)
 	for _, r := range answer.Msg.GetReports() {
-		if r.GetState() != v1.TaskState_TASK_STATE_FINISHED {
+		if r.GetState() == v1.TaskState_TASK_STATE_RUNNING {
 			return false
 		}
+		b.is.Equal(r.GetState(), v1.TaskState_TASK_STATE_FINISHED)
 	}
 	return true
 }
--- a/runner/core.go
+++ b/runner/core.go
@@ -70,29 +70,26 @@
 	unacked map[task.ID]*record
 	// resultBytes is the size of the responses in unacked.
 	resultBytes int
-	// expiries holds one item for each ended record and each fence.
-	expiries timeline[expiry]
-	refusals *refusals
-	links    map[task.Process]bool
-	leaving  bool
-	revision uint64
-}
-
-// expiry names a record, or a job's fence when fence is true.
-type expiry struct {
-	id    task.ID
-	fence bool
+	// expiries holds one item for each ended record.
+	expiries timeline[*record]
+	// fenceExpiries holds one item for each fence.
+	fenceExpiries timeline[task.JobID]
+	refusals      *refusals
+	links         map[task.Process]bool
+	leaving       bool
+	revision      uint64
 }
 
 // New returns a core that remembers nothing.
 func New(options Options) *Core {
 	return &Core{
-		options:  options,
-		jobs:     make(map[task.JobID]*job),
-		unacked:  make(map[task.ID]*record),
-		expiries: newTimeline[expiry](),
-		refusals: newRefusals(options.Remember),
-		links:    make(map[task.Process]bool),
+		options:       options,
+		jobs:          make(map[task.JobID]*job),
+		unacked:       make(map[task.ID]*record),
+		expiries:      newTimeline[*record](),
+		fenceExpiries: newTimeline[task.JobID](),
+		refusals:      newRefusals(options.Remember),
+		links:         make(map[task.Process]bool),
 	}
 }
 
@@ -112,13 +109,14 @@
 
 // NextWake returns when a Tick is due, or zero when none is.
 func (c *Core) NextWake() time.Time {
-	wake := earlier(c.expiries.next(), c.refusals.expiries.next())
+	wake := earlier(c.expiries.next(), c.fenceExpiries.next())
+	wake = earlier(wake, c.refusals.expiries.next())
 	for _, r := range c.queue {
-		wake = earlier(wake, r.start.Deadline)
+		wake = earlier(wake, r.work.start.Deadline)
 	}
 	for _, r := range c.running {
-		if r.stopped == "" {
-			wake = earlier(wake, r.start.Deadline)
+		if r.work.stopped == "" {
+			wake = earlier(wake, r.work.start.Deadline)
 		}
 	}
 	return wake
@@ -179,34 +177,32 @@
 	c.stopLate()
 	c.dropLate()
 	c.refusals.expire(c.now)
-	for _, e := range c.expiries.due(c.now) {
-		if e.fence {
-			c.expireFence(e)
-		} else {
-			c.expireTask(e)
-		}
+	for _, r := range c.expiries.due(c.now) {
+		c.expireTask(r)
+	}
+	for _, id := range c.fenceExpiries.due(c.now) {
+		c.expireFence(id)
 	}
 }
 
-func (c *Core) expireTask(e expiry) {
-	r := c.find(e.id)
+func (c *Core) expireTask(r *record) {
 	if r.until.After(c.now) {
-		c.expiries.push(r.until, e)
+		c.expiries.push(r.until, r)
 		return
 	}
 	c.release(r)
 	c.remove(r)
 }
 
-func (c *Core) expireFence(e expiry) {
-	j := c.jobs[e.id.Job]
+func (c *Core) expireFence(id task.JobID) {
+	j := c.jobs[id]
 	if j.fencedUntil.After(c.now) {
-		c.expiries.push(j.fencedUntil, e)
+		c.fenceExpiries.push(j.fencedUntil, id)
 		return
 	}
 	j.generation = 0
 	c.fences--
-	c.tidy(e.id.Job)
+	c.tidy(id)
 }
 
 func (c *Core) drain(e Drained) {
@@ -223,7 +219,7 @@
 	c.links[e.Entry] = true
 	c.emit(Tell{To: e.Entry})
 	for _, r := range c.unackedOf(e.Entry) {
-		c.emit(Send{To: e.Entry, Report: r.report})
+		c.emit(Send{To: e.Entry, Report: r.known()})
 	}
 }
 
--- a/runner/record.go
+++ b/runner/record.go
@@ -27,48 +27,75 @@
 	generation task.Generation
 	// fencedUntil is when the fence and the job's ended tasks may be forgotten.
 	fencedUntil time.Time
-	tasks       map[int]*record
+	// tasks are in the order of their index.
+	tasks []*record
 }
 
-// record is one accepted task.
+// record is one accepted task. It is small, because it outlives the task's work
+// until the deadline.
 type record struct {
+	id      task.ID
+	attempt task.Attempt
+	phase   phase
+	// state is Finished, Broken or Forgotten when phase is ended.
+	state task.State
+	// reason is set when state is Broken.
+	reason string
+	// until is when an ended record may be forgotten.
+	until time.Time
+	// work is nil once the report was acknowledged.
+	work *work
+}
+
+// work is what a task needs until its report is acknowledged.
+type work struct {
 	// start loses its request when the task ends.
 	start task.Start
 	// askers get the result; at least 1, at most maxAskers.
 	askers []task.Process
-	phase  phase
 	// stopped is the reason of a Stop command, or empty.
 	stopped string
-	// report is set when phase is ended.
-	report task.Report
+	// response is set when the record's state is Finished.
+	response task.Response
 	// cost is what the response counts in resultBytes.
 	cost int
-	// until is when an ended record may be forgotten.
-	until time.Time
 }
 
 // unstarted returns the report of a refused start.
 func (r *record) unstarted(refusal task.Refusal) task.Report {
-	return unstarted(r.start.Task, r.start.Attempt, refusal)
+	return unstarted(r.id, r.attempt, refusal)
 }
 
 // known returns the report of a started task.
 func (r *record) known() task.Report {
-	if r.phase == ended {
-		return r.report
+	report := task.Report{Task: r.id, Attempt: r.attempt, State: task.Running}
+	if r.phase != ended {
+		return report
+	}
+	report.State = r.state
+	report.Reason = r.reason
+	if r.work != nil {
+		report.Response = r.work.response
 	}
-	return task.Report{Task: r.start.Task, Attempt: r.start.Attempt, State: task.Running}
+	return report
 }
 
 // addAsker makes an entry get the result, instead of the oldest of too many.
-func (r *record) addAsker(entry task.Process) {
-	if slices.Contains(r.askers, entry) {
+func (w *work) addAsker(entry task.Process) {
+	if slices.Contains(w.askers, entry) {
 		return
 	}
-	if len(r.askers) == maxAskers {
-		r.askers = slices.Delete(r.askers, 0, 1)
+	if len(w.askers) == maxAskers {
+		w.askers = slices.Delete(w.askers, 0, 1)
 	}
-	r.askers = append(r.askers, entry)
+	w.askers = append(w.askers, entry)
+}
+
+// search returns where the task with an index is, or belongs.
+func (j *job) search(index int) (int, bool) {
+	return slices.BinarySearchFunc(j.tasks, index, func(r *record, index int) int {
+		return cmp.Compare(r.id.Index, index)
+	})
 }
 
 func unstarted(id task.ID, attempt task.Attempt, refusal task.Refusal) task.Report {
@@ -84,28 +111,35 @@
 	if j == nil {
 		return nil
 	}
-	return j.tasks[id.Index]
+	if i, ok := j.search(id.Index); ok {
+		return j.tasks[i]
+	}
+	return nil
 }
 
 // jobOf returns the job, which it adds when it is new.
 func (c *Core) jobOf(id task.JobID) *job {
 	j := c.jobs[id]
 	if j == nil {
-		j = &job{tasks: make(map[int]*record, 1)}
+		j = &job{}
 		c.jobs[id] = j
 	}
 	return j
 }
 
 func (c *Core) add(r *record) {
-	c.jobOf(r.start.Task.Job).tasks[r.start.Task.Index] = r
+	j := c.jobOf(r.id.Job)
+	i, _ := j.search(r.id.Index)
+	j.tasks = slices.Insert(j.tasks, i, r)
 	c.tasks++
 }
 
 func (c *Core) remove(r *record) {
-	delete(c.jobs[r.start.Task.Job].tasks, r.start.Task.Index)
+	j := c.jobs[r.id.Job]
+	i, _ := j.search(r.id.Index)
+	j.tasks = slices.Delete(j.tasks, i, i+1)
 	c.tasks--
-	c.tidy(r.start.Task.Job)
+	c.tidy(r.id.Job)
 }
 
 // tidy forgets a job without fence and tasks.
@@ -116,14 +150,16 @@
 	}
 }
 
-// release gives up the kept response of a record, if there is one.
+// release gives up the work of an ended task, with the response.
 func (c *Core) release(r *record) {
-	delete(c.unacked, r.start.Task)
-	c.resultBytes -= r.cost
-	r.cost = 0
-	if r.report.State == task.Finished {
-		r.report.State = task.Forgotten
-		r.report.Response = task.Response{}
+	if r.work == nil {
+		return
+	}
+	delete(c.unacked, r.id)
+	c.resultBytes -= r.work.cost
+	r.work = nil
+	if r.state == task.Finished {
+		r.state = task.Forgotten
 	}
 }
 
@@ -132,11 +168,11 @@
 func (c *Core) unackedOf(entry task.Process) []*record {
 	var records []*record
 	for _, r := range c.unacked {
-		if slices.Contains(r.askers, entry) {
+		if slices.Contains(r.work.askers, entry) {
 			records = append(records, r)
 		}
 	}
-	slices.SortFunc(records, func(a, b *record) int { return compareIDs(a.start.Task, b.start.Task) })
+	slices.SortFunc(records, func(a, b *record) int { return compareIDs(a.id, b.id) })
 	return records
 }
 
--- a/runner/settles.go
+++ b/runner/settles.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-	"maps"
 	"slices"
 
 	"agatevalve/common/fault"
@@ -20,9 +19,9 @@
 func (c *Core) settleOne(s dispatcher.Sent) task.Report {
 	r := c.find(s.Task)
 	switch {
-	case r != nil && r.start.Attempt == s.Attempt && r.phase != queued:
+	case r != nil && r.attempt == s.Attempt && r.phase != queued:
 		return r.known()
-	case r != nil && r.start.Attempt == s.Attempt:
+	case r != nil && r.attempt == s.Attempt:
 		c.drop(r, task.Withdrawn)
 		return r.unstarted(task.Withdrawn)
 	case c.mayBeForgotten(s.Deadline):
@@ -62,7 +61,7 @@
 		j = c.jobOf(f.Job)
 		c.fences++
 		j.fencedUntil = f.Deadline.Add(ClockAllowance)
-		c.expiries.push(j.fencedUntil, expiry{id: task.ID{Job: f.Job}, fence: true})
+		c.fenceExpiries.push(j.fencedUntil, f.Job)
 	}
 	j.generation = max(j.generation, f.Generation)
 	if until := f.Deadline.Add(ClockAllowance); until.After(j.fencedUntil) {
@@ -78,9 +77,8 @@
 
 // dropBelow refuses the queued tasks of a job that are below its fence.
 func (c *Core) dropBelow(j *job) {
-	for _, i := range slices.Sorted(maps.Keys(j.tasks)) {
-		r := j.tasks[i]
-		if r.phase == queued && r.start.Generation < j.generation {
+	for _, r := range slices.Clone(j.tasks) {
+		if r.phase == queued && r.work.start.Generation < j.generation {
 			c.drop(r, task.StaleOwner)
 		}
 	}
@@ -88,8 +86,8 @@
 
 func startedOf(j *job) []task.Report {
 	var reports []task.Report
-	for _, i := range slices.Sorted(maps.Keys(j.tasks)) {
-		if r := j.tasks[i]; r.phase != queued {
+	for _, r := range j.tasks {
+		if r.phase != queued {
 			reports = append(reports, r.known())
 		}
 	}
@@ -98,7 +96,7 @@
 
 func (c *Core) cancel(e Cancelled) {
 	r := c.find(e.Task)
-	if r == nil || r.start.Attempt != e.Attempt {
+	if r == nil || r.attempt != e.Attempt {
 		c.refusals.tryAdd(attempt{e.Task, e.Attempt}, c.now.Add(CancelWindow))
 		return
 	}
@@ -113,7 +111,7 @@
 
 func (c *Core) acknowledge(e Acknowledged) {
 	r := c.find(e.Task)
-	if r != nil && r.phase == ended && r.start.Attempt == e.Attempt {
+	if r != nil && r.phase == ended && r.attempt == e.Attempt {
 		c.release(r)
 	}
 }
--- a/runner/starts.go
+++ b/runner/starts.go
@@ -20,7 +20,12 @@
 		c.refuse(e, refusal)
 		return
 	}
-	r := &record{start: e.Start, askers: []task.Process{e.From}, phase: queued}
+	r := &record{
+		id:      e.Start.Task,
+		attempt: e.Start.Attempt,
+		phase:   queued,
+		work:    &work{start: e.Start, askers: []task.Process{e.From}},
+	}
 	c.add(r)
 	c.queue = append(c.queue, r)
 	c.emit(Accept{To: e.From, Task: e.Start.Task, Attempt: e.Start.Attempt})
@@ -36,14 +41,16 @@
 // double answers a start of a task that was accepted before with what is known
 // of the first start.
 func (c *Core) double(e Arrived, r *record) {
-	if e.Start.Attempt != r.start.Attempt {
+	if e.Start.Attempt != r.attempt {
 		c.refuse(e, task.Doubled)
 	} else {
-		r.addAsker(e.From)
-		c.emit(Accept{To: e.From, Task: r.start.Task, Attempt: r.start.Attempt})
+		c.emit(Accept{To: e.From, Task: r.id, Attempt: r.attempt})
+	}
+	if r.work != nil && e.Start.Attempt == r.attempt {
+		r.work.addAsker(e.From)
 	}
 	if r.phase == ended {
-		c.emit(Send{To: e.From, Report: r.report})
+		c.emit(Send{To: e.From, Report: r.known()})
 	}
 }
 
@@ -55,7 +62,7 @@
 
 // refuseUnreadable refuses an attempt that was not accepted before.
 func (c *Core) refuseUnreadable(e Unreadable) {
-	if r := c.find(e.Task); r != nil && r.start.Attempt == e.Attempt {
+	if r := c.find(e.Task); r != nil && r.attempt == e.Attempt {
 		return
 	}
 	c.refusals.add(c.now, attempt{e.Task, e.Attempt}, c.now.Add(CancelWindow))
@@ -102,14 +109,14 @@
 		c.queue = slices.Delete(c.queue, 0, 1)
 		r.phase = running
 		c.running = append(c.running, r)
-		c.emit(Run{Start: r.start})
+		c.emit(Run{Start: r.work.start})
 	}
 }
 
 // stopLate ends the minion calls whose deadline has passed.
 func (c *Core) stopLate() {
 	for _, r := range c.running {
-		if !c.now.Before(r.start.Deadline) {
+		if !c.now.Before(r.work.start.Deadline) {
 			c.stop(r, reasonDeadline)
 		}
 	}
@@ -118,18 +125,18 @@
 // dropLate refuses the queued tasks whose deadline has passed.
 func (c *Core) dropLate() {
 	for _, r := range slices.Clone(c.queue) {
-		if !c.now.Before(r.start.Deadline) {
+		if !c.now.Before(r.work.start.Deadline) {
 			c.drop(r, task.Late)
 		}
 	}
 }
 
 func (c *Core) stop(r *record, reason string) {
-	if r.stopped != "" {
+	if r.work.stopped != "" {
 		return
 	}
-	r.stopped = reason
-	c.emit(Stop{Task: r.start.Task, Attempt: r.start.Attempt})
+	r.work.stopped = reason
+	c.emit(Stop{Task: r.id, Attempt: r.attempt})
 }
 
 // drop takes back the acceptance of a task that the minion didn't get.
@@ -137,8 +144,8 @@
 	c.queue = without(c.queue, r)
 	c.running = without(c.running, r)
 	c.remove(r)
-	c.refusals.add(c.now, attempt{r.start.Task, r.start.Attempt}, r.start.Deadline)
-	for _, entry := range r.askers {
+	c.refusals.add(c.now, attempt{r.id, r.attempt}, r.work.start.Deadline)
+	for _, entry := range r.work.askers {
 		c.emit(Refuse{To: entry, Report: r.unstarted(refusal)})
 	}
 }
@@ -150,12 +157,13 @@
 	}
 	cost := costOf(e.Response)
 	if cost > c.options.ResponseBytes {
-		c.end(r, task.Report{State: task.Broken, Reason: reasonTooLarge})
+		c.end(r, task.Broken, reasonTooLarge)
 		return
 	}
-	r.cost = cost
+	r.work.cost = cost
+	r.work.response = e.Response
 	c.resultBytes += cost
-	c.end(r, task.Report{State: task.Finished, Response: e.Response})
+	c.end(r, task.Finished, "")
 }
 
 func (c *Core) minionFailed(e MinionFailed) {
@@ -164,19 +172,19 @@
 		return
 	}
 	reason := e.Reason
-	if r.stopped != "" {
-		reason = r.stopped
+	if r.work.stopped != "" {
+		reason = r.work.stopped
 	}
-	c.end(r, task.Report{State: task.Broken, Reason: reason})
+	c.end(r, task.Broken, reason)
 }
 
 func (c *Core) minionUnreached(e MinionUnreached) {
 	r := c.runningRecord(e.Task, e.Attempt)
 	switch {
 	case r == nil:
-	case r.stopped == reasonCancelled:
+	case r.work.stopped == reasonCancelled:
 		c.drop(r, task.Withdrawn)
-	case !c.now.Before(r.start.Deadline):
+	case !c.now.Before(r.work.start.Deadline):
 		c.drop(r, task.Late)
 	default:
 		c.drop(r, task.Unreachable)
@@ -185,29 +193,28 @@
 
 func (c *Core) runningRecord(id task.ID, attempt task.Attempt) *record {
 	r := c.find(id)
-	if r == nil || r.phase != running || r.start.Attempt != attempt {
+	if r == nil || r.phase != running || r.attempt != attempt {
 		return nil
 	}
 	return r
 }
 
 // end frees the slot and sends the final report.
-func (c *Core) end(r *record, report task.Report) {
-	report.Task = r.start.Task
-	report.Attempt = r.start.Attempt
+func (c *Core) end(r *record, state task.State, reason string) {
 	c.running = without(c.running, r)
 	r.phase = ended
-	r.report = report
-	r.start.Request = task.Request{}
-	r.until = r.start.Deadline.Add(ClockAllowance)
-	if j := c.jobs[r.start.Task.Job]; j.fencedUntil.After(r.until) {
+	r.state = state
+	r.reason = reason
+	r.work.start.Request = task.Request{}
+	r.until = r.work.start.Deadline.Add(ClockAllowance)
+	if j := c.jobs[r.id.Job]; j.fencedUntil.After(r.until) {
 		r.until = j.fencedUntil
 	}
-	c.expiries.push(r.until, expiry{id: r.start.Task})
-	c.unacked[r.start.Task] = r
-	for _, entry := range r.askers {
+	c.expiries.push(r.until, r)
+	c.unacked[r.id] = r
+	for _, entry := range r.work.askers {
 		if c.links[entry] {
-			c.emit(Send{To: entry, Report: report})
+			c.emit(Send{To: entry, Report: r.known()})
 		}
 	}
 }
