commands: Run a stand-in minion, and end both programs with the same codes

A new user could not make a route with separate processes, since nothing in the repository answered as a minion; the demonstration's are inside its own process. The agent ended with kong's codes, which no page names.

The command minion runs the emulator's minion on an address, and shares the serving and stopping with platform. The exit codes moved to common/fault, and the agent uses them too. Files that are missing are reported by the loader, so that they have a remedy like other bad input. Status shows the revision at each agent, and unknown for a mean service time that no entry reports.

--- a/agatevalve-agent/main.go
+++ b/agatevalve-agent/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -11,19 +12,32 @@
 	"github.com/alecthomas/kong"
 
 	"agatevalve/attendant"
+	"agatevalve/common/fault"
 	"agatevalve/connector"
 	"agatevalve/loader"
 )
 
+const description = `Start tasks at the minion (back end) beside it. Interrupt it for a graceful stop.
+
+Exit codes: 0 stopped in good order; 1 failed; 2 bad input; 5 stopped with tasks or results left, which the error counts.`
+
 type arguments struct {
-	Settings string `arg:"" type:"existingfile" help:"Settings file of the agent, in JSON."`
+	Settings string `arg:"" help:"Settings file (JSON) of the agent; see examples/agent-1.json, and check it with agatevalve settings check."`
 }
 
 func main() {
 	var args arguments
-	parsed := kong.Parse(&args, kong.Name("agatevalve-agent"),
-		kong.Description("Start tasks at the minion beside it. Interrupt it for a graceful stop."))
-	parsed.FatalIfErrorf(run(args.Settings))
+	app := kong.Must(&args, kong.Name("agatevalve-agent"), kong.Description(description))
+	_, err := app.Parse(os.Args[1:])
+	if err != nil {
+		err = fault.New(fault.Invalid, "see agatevalve-agent --help", "%s", err)
+	} else {
+		err = run(args.Settings)
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "agatevalve-agent: %s\n", err)
+	}
+	os.Exit(fault.ExitCode(err))
 }
 
 func run(path string) error {
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -9,31 +9,36 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+
+	"agatevalve/common/fault"
 )
 
 const description = `Dispatch sub-second tasks, and edit what is dispatched where.
 
-Routes and pools are two tables, kept in the platform's table service. Every edit names the revision that it was made from and comes into force as a whole, or not at all.
+A route says which requests go to which pool; a pool groups the minions (back ends) that serve them. Routes and pools are two tables, kept in the platform's table service. Every edit is made from a revision of both tables; it comes into force as a whole, or not at all.
+
+Commands that read or edit the tables need --store or AGATEVALVE_STORE.
 
-Exit codes: 0 done; 1 failed; 2 bad input; 3 conflict with another operator; 4 store or entries unreachable, and nothing was changed; 5 not known whether it was done, or done and not yet in force everywhere.`
+Exit codes: 0 done; 1 failed; 2 bad input; 3 conflict with another operator; 4 not reachable or too late, and nothing was changed; 5 not known whether it was done, or done and not yet in force everywhere.`
 
 // root holds the commands and the flags that they share.
 type root struct {
 	Store   netip.AddrPort `help:"Address of the platform's table service (IP number and port)." placeholder:"IP:PORT" env:"AGATEVALVE_STORE"`
 	Format  string         `help:"Form of the output: table for people, json for programs." enum:"table,json" default:"table"`
-	Timeout time.Duration  `help:"How long to try, with its unit." default:"20s"`
+	Timeout time.Duration  `help:"How long to try, with its unit, such as 500ms or 1m." default:"20s"`
 
-	Serve    ServeCommand    `cmd:"" help:"Run an entry."`
+	Serve    ServeCommand    `cmd:"" help:"Run an entry: the process that takes requests and jobs from callers."`
 	Demo     DemoCommand     `cmd:"" help:"Run a whole small system in one process, to try it."`
 	Submit   SubmitCommand   `cmd:"" help:"Send a job from a file and print its answer."`
 	Platform PlatformCommand `cmd:"" help:"Run a stand-in of the platform's table service, for trials."`
+	Minion   MinionCommand   `cmd:"" help:"Run a stand-in of a minion (a back end that answers requests), for trials."`
 
 	Routes   RoutesCommand   `cmd:"" help:"Show and edit the table of routes."`
 	Pools    PoolsCommand    `cmd:"" help:"Show and edit the table of pools."`
 	Config   ConfigCommand   `cmd:"" help:"Check, compare, apply and revert whole configurations."`
 	Audit    AuditCommand    `cmd:"" help:"Show who changed what, when and why."`
 	Explain  ExplainCommand  `cmd:"" help:"Tell which route, pool and minions serve a request, and why."`
-	Status   StatusCommand   `cmd:"" help:"Show the store, the entries and the agents."`
+	Status   StatusCommand   `cmd:"" help:"Show the store, the entries and the agents beside minions, and the revision in force at each."`
 	Drain    DrainCommand    `cmd:"" help:"Keep new tasks from a minion, or from all minions of a worker."`
 	Undrain  UndrainCommand  `cmd:"" help:"Let a drained minion or worker take tasks again."`
 	Settings SettingsCommand `cmd:"" help:"Check settings files."`
@@ -68,5 +73,5 @@
 	if err := chosen.Run(c); err != nil {
 		return c.fail(err)
 	}
-	return codeDone
+	return fault.ExitDone
 }
--- a/commands/console.go
+++ b/commands/console.go
@@ -20,16 +20,6 @@
 	"agatevalve/publisher"
 )
 
-// Exit codes.
-const (
-	codeDone        = 0
-	codeFailed      = 1
-	codeBadInput    = 2
-	codeConflict    = 3
-	codeUnreachable = 4
-	codeUncertain   = 5
-)
-
 // retryPause is the time between two tries of a call with an unknown fate.
 const retryPause = 200 * time.Millisecond
 
@@ -146,7 +136,7 @@
 
 // fail prints an error with its remedy and returns the exit code.
 func (c *console) fail(err error) int {
-	code := exitCode(err)
+	code := fault.ExitCode(err)
 	remedy := fault.RemedyOf(err)
 	if remedy == "" {
 		remedy = "report this with the command line"
@@ -167,22 +157,6 @@
 	return strings.TrimSuffix(err.Error(), "; "+fault.RemedyOf(err))
 }
 
-func exitCode(err error) int {
-	switch fault.KindOf(err) {
-	case fault.Invalid, fault.NotFound, fault.TooLarge, fault.Denied:
-		return codeBadInput
-	case fault.Conflict:
-		return codeConflict
-	case fault.Unavailable, fault.Expired:
-		return codeUnreachable
-	case fault.Uncertain:
-		return codeUncertain
-	case fault.Internal:
-		return codeFailed
-	}
-	return codeFailed
-}
-
 func errUsage(err error) error {
 	return fault.New(fault.Invalid, "see agatevalve --help", "%s", err)
 }
--- a/commands/explain.go
+++ b/commands/explain.go
@@ -180,7 +180,7 @@
 	rows := [][]string{{"MINION", "WORKER", "ZONE", "RUNNING/SLOTS", "MEAN", "WHY"}}
 	for _, m := range wire.Minions {
 		rows = append(rows, []string{
-			m.Name, m.Worker, m.Zone, fmt.Sprintf("%d/%d", m.Running, m.Slots), fmt.Sprintf("%.3fs", m.MeanSeconds), m.Why,
+			m.Name, m.Worker, m.Zone, fmt.Sprintf("%d/%d", m.Running, m.Slots), describeMean(m.MeanSeconds), m.Why,
 		})
 	}
 	return c.table(rows)
--- a/commands/serve.go
+++ b/commands/serve.go
@@ -14,7 +14,7 @@
 // ServeCommand runs an entry until it is interrupted, and then stops it
 // gracefully.
 type ServeCommand struct {
-	Settings string `arg:"" help:"Settings file (JSON) of the entry; see examples/entry-1.json." type:"existingfile"`
+	Settings string `arg:"" help:"Settings file (JSON) of the entry; see examples/entry-1.json."`
 }
 
 // Run serves callers. A second signal ends the process at once.
--- a/commands/status.go
+++ b/commands/status.go
@@ -170,17 +170,25 @@
 }
 
 func agentTable(agents []wireAgent) [][]string {
-	table := [][]string{{"AGENT", "ZONE", "WORKER", "RACK", "ADDRESS", "POOLS", "RUNNING/SLOTS", "QUEUED", "MEAN", "STATE"}}
+	table := [][]string{{"AGENT", "ZONE", "WORKER", "RACK", "ADDRESS", "POOLS", "RUNNING/SLOTS", "QUEUED", "MEAN", "REVISION", "STATE"}}
 	for _, a := range agents {
 		table = append(table, []string{
 			a.Name, a.Zone, a.Worker, a.Rack, a.Address, strings.Join(a.Pools, ","),
 			fmt.Sprintf("%d/%d", a.Running, a.Slots), strconv.Itoa(int(a.Queued)),
-			fmt.Sprintf("%.3fs", a.MeanSeconds), describeAgent(a),
+			describeMean(a.MeanSeconds), strconv.FormatUint(a.Revision, 10), describeAgent(a),
 		})
 	}
 	return table
 }
 
+// describeMean returns the mean service time, or unknown before it is learned.
+func describeMean(seconds float64) string {
+	if seconds == 0 {
+		return "unknown"
+	}
+	return fmt.Sprintf("%.3fs", seconds)
+}
+
 func describeAgent(a wireAgent) string {
 	switch {
 	case a.Leaving:
