measurer: Take the queues that ship

The defaults now come from balancer.DefaultQueue and attendant.DefaultQueueLength, and the flag is named for what it sets.

--- a/commands/measure.go
+++ b/commands/measure.go
@@ -12,7 +12,7 @@
 	Deployment string `help:"Sizes and latencies to use." enum:"campanario,reed-office" default:"campanario"`
 	Seed       uint64 `help:"Seed of all random numbers; the same seed gives the same figures." default:"1"`
 	Plot       string `help:"Directory for plots of answer times and goodput." type:"path" placeholder:"DIR"`
-	Depth      *int   `help:"Tasks beyond its slots that an entry sends to a minion, instead of what ships." placeholder:"TASKS"`
+	EntryQueue *int   `help:"Tasks beyond its slots that an entry lets wait at a minion, instead of what ships." placeholder:"TASKS"`
 	AgentQueue *int   `help:"Tasks that wait at an agent for a slot, instead of what ships." placeholder:"TASKS"`
 }
 
@@ -57,8 +57,8 @@
 
 func (m *MeasureCommand) tuning() measurer.Tuning {
 	t := measurer.DefaultTuning()
-	if m.Depth != nil {
-		t.Depth = *m.Depth
+	if m.EntryQueue != nil {
+		t.EntryQueue = *m.EntryQueue
 	}
 	if m.AgentQueue != nil {
 		t.AgentQueue = *m.AgentQueue
--- a/measurer/entry.go
+++ b/measurer/entry.go
@@ -82,7 +82,7 @@
 		Self: e.self, Address: e.address, Zone: e.zone,
 		QueueTasks: queueTasks, KeepAnswers: keepAnswers, KeepBytes: keepBytes,
 		Random:  random,
-		Chooser: w.policy.chooser(balancer.Options{Zone: e.zone, Queue: w.tuning.Depth, Random: random}, e.linked),
+		Chooser: w.policy.chooser(balancer.Options{Zone: e.zone, Queue: w.tuning.EntryQueue, Random: random}, e.linked),
 	})
 	e.claims = newClaims(e, random)
 	e.alarm = alarm{loop: w.loop}
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -22,6 +22,7 @@
 	"math/rand/v2"
 	"time"
 
+	"agatevalve/attendant"
 	"agatevalve/balancer"
 	"agatevalve/common/task"
 	"agatevalve/dispatcher"
@@ -42,14 +43,16 @@
 
 // Tuning sets what operators of agents and entries could choose.
 type Tuning struct {
-	// Depth is how many tasks beyond its slots an entry lets wait at a minion.
-	Depth int
+	// EntryQueue is how many tasks beyond its slots an entry lets wait at a minion.
+	EntryQueue int
 	// AgentQueue is how many tasks wait at an agent for a slot.
 	AgentQueue int
 }
 
 // DefaultTuning returns what the product ships with.
-func DefaultTuning() Tuning { return Tuning{Depth: balancer.DefaultQueue, AgentQueue: 8} }
+func DefaultTuning() Tuning {
+	return Tuning{EntryQueue: balancer.DefaultQueue, AgentQueue: attendant.DefaultQueueLength}
+}
 
 // OwnPolicy is the name of the policy that the product ships with.
 const OwnPolicy = "agatevalve"
