estimator, docs: Work out the capacity page from measured slopes

A page written by hand drifts from its figures, so the estimator works the tables out from slopes.json, and a test fails when page and survey differ or when a slope no longer shows on the page.

Not measured: the callers' side of an entry, the ends of a link apart, and the base memory of a process. Cuts between zones and regions have no whole test.

--- /dev/null
+++ b/surveyor/estimator/estimator_test.go
@@ -0,0 +1,112 @@
+package estimator_test
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"agatevalve/surveyor"
+	"agatevalve/surveyor/estimator"
+)
+
+const (
+	pageFile   = "../../docs/CAPACITY.md"
+	surveyFile = "../../docs/measurements/slopes.json"
+)
+
+var update = flag.Bool("update", false, "write the tables of the capacity page anew")
+
+func readSurvey(t *testing.T) ([]byte, surveyor.Report) {
+	t.Helper()
+	text, err := os.ReadFile(surveyFile)
+	is.New(t).NoErr(err)
+	survey, err := surveyor.ReadJSON(bytes.NewReader(text))
+	is.New(t).NoErr(err)
+	return text, survey
+}
+
+// TestPageHoldsTheSurvey works the page's tables out anew.
+func TestPageHoldsTheSurvey(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile(pageFile)
+	is.NoErr(err)
+	_, survey := readSurvey(t)
+	rebuilt, err := estimator.Rebuild(string(page), survey)
+	is.NoErr(err)
+	if *update {
+		is.NoErr(os.WriteFile(pageFile, []byte(rebuilt), 0o644))
+		return
+	}
+	if rebuilt != string(page) {
+		t.Fatal("the tables of docs/CAPACITY.md are not those of the survey; run go test ./surveyor/estimator -update")
+	}
+}
+
+// TestEveryPointCounts changes one point of each slope, and expects another
+// page.
+func TestEveryPointCounts(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile(pageFile)
+	is.NoErr(err)
+	_, survey := readSurvey(t)
+	for i, s := range survey.Slopes {
+		changed := survey
+		changed.Slopes = append([]surveyor.Slope{}, survey.Slopes...)
+		points := append([]surveyor.Point{}, s.Points...)
+		points[2].Cost *= 2
+		changed.Slopes[i].Points = points
+		changed.Slopes[i].Line = surveyor.LineThrough(points)
+		rebuilt, err := estimator.Rebuild(string(page), changed)
+		is.NoErr(err)
+		if rebuilt == string(page) {
+			t.Errorf("%s may change and leave the page as it is", s.Name)
+		}
+	}
+}
+
+func TestPageNeedsItsMarksAndSlopes(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile(pageFile)
+	is.NoErr(err)
+	_, survey := readSurvey(t)
+	_, err = estimator.Rebuild(strings.Replace(string(page), "<!-- end operator -->", "", 1), survey)
+	is.True(err != nil)
+	survey.Slopes = survey.Slopes[1:]
+	_, err = estimator.Rebuild(string(page), survey)
+	is.True(err != nil)
+}
+
+// TestArithmetic works figures out by hand from round slopes.
+func TestArithmetic(t *testing.T) {
+	is := is.New(t)
+	_, survey := readSurvey(t)
+	for i := range survey.Slopes {
+		survey.Slopes[i].Line = surveyor.Line{Base: 10, Each: 1}
+		survey.Slopes[i].Points = nil
+	}
+	tables, err := estimator.New(survey, estimator.FleetTarget(), estimator.FleetLimits()).Tables()
+	is.NoErr(err)
+	find := func(table, what string) estimator.Row {
+		for _, candidate := range tables {
+			for _, r := range candidate.Rows {
+				if candidate.Name == table && r.What == what {
+					return r
+				}
+			}
+		}
+		t.Fatalf("no row %q in table %s", what, table)
+		return estimator.Row{}
+	}
+	is.Equal(find("entry-control", "announcements").Ships, 137.5)           // 1,100 x 4 / 16 every 2 s
+	is.Equal(find("agent-control", "list of the entries").Ships, 26.0/4)    // 10 + 16 every 4 s
+	is.Equal(find("store-reads", "lists by agents").Ships, 275.0)           // 1,100 every 4 s
+	is.Equal(find("store-writes", "jobs of 100: rows").Ships, 640.0+26)     // claims and index rows
+	is.Equal(find("entry-data", "claims, jobs of 10").Ships, 285.0*400)     // 10 + 275 agents, 400 jobs
+	is.Equal(find("entry-data", "claims, jobs of 10").Proposed, 26.0*400.0) // 10 + 16 agents
+	is.True(find("entry-control", "**control messages**").Ships > 0)
+	is.True(!find("entry-control", "**control messages**").Breaks())
+}
--- /dev/null
+++ b/surveyor/estimator/store.go
@@ -0,0 +1,89 @@
+package estimator
+
+import "fmt"
+
+func (e *Estimator) storeReads() Table {
+	t := e.target
+	entries := float64(t.Entries)
+	return Table{Name: "store-reads", Rows: withTotal("reads", e.limits.Reads,
+		e.row("lists by agents", reads, "agents / period", func(d Design) float64 {
+			return float64(t.Agents) * perSecond(d.AgentList)
+		}),
+		e.row("lists by entries", reads, "entries / period", func(d Design) float64 { return entries * perSecond(d.EntryList) }),
+		e.row("polls of the head", reads, "entries / period", func(d Design) float64 { return entries * perSecond(d.Poll) }),
+		e.row("reads of changes", reads, "entries x changes a day / 86,400", func(Design) float64 {
+			return entries * float64(t.ChangesPerDay) / daySeconds
+		}),
+		e.row("sweep of claims of a day ago, if that second was a peak of jobs of 10", reads, "claim-transactions-10 at all entries, as measured", func(Design) float64 {
+			return e.at(fmt.Sprintf(claimsTable, 10), entries)
+		}),
+	)}
+}
+
+func (e *Estimator) storeWrites() Table {
+	t := e.target
+	entries := float64(t.Entries)
+	var rows []Row
+	for _, tasks := range t.JobTasks {
+		claims := float64(t.StartsPerSecond) / float64(tasks)
+		name := fmt.Sprintf("jobs of %d: ", tasks)
+		transactions := e.at(fmt.Sprintf(claimsTable, tasks), entries)
+		writes := withTotal(name+"writes", e.limits.Writes,
+			e.row(name+"claim transactions", writesUnit, fmt.Sprintf(claimsTable, tasks)+" at all entries, as measured", func(Design) float64 { return transactions }),
+			e.row(name+"renewals", writesUnit, "entries / period", func(d Design) float64 { return entries * perSecond(d.Renew) }),
+			e.row(name+"publishes", writesUnit, "changes a day / 86,400", func(Design) float64 { return float64(t.ChangesPerDay) / daySeconds }),
+		)
+		sweep := e.row(name+"sweep of as many claims a day later", writesUnit, "one transaction for each claim transaction", func(Design) float64 { return transactions })
+		sweep.How += "; it yields to nothing, so it counts when both days peak together"
+		rows = append(rows, writes...)
+		rows = append(rows, sweep,
+			e.row(name+"rows", "rows/s", "one for each claim, one index row for each transaction", func(Design) float64 { return claims + transactions }),
+			e.row(name+"row bytes", "MB/s", "claim-row-bytes at the claim's agents x claims", func(d Design) float64 {
+				return e.line("claim-row-bytes").At(t.claimAgents(d)) * claims / million
+			}),
+			e.row(name+"wait for a claim", "ms", fmt.Sprintf("claim-wait-%d at all entries", tasks), func(Design) float64 {
+				return e.at(fmt.Sprintf("claim-wait-%d", tasks), entries)
+			}))
+	}
+	return Table{Name: "store-writes", Rows: rows}
+}
+
+// events works out what losses and their ends ask for at once.
+func (e *Estimator) events() Table {
+	t := e.target
+	entries := float64(t.Entries)
+	subset := func(d Design) float64 { return float64(min(d.Subset, t.Entries)) }
+	zone := float64(t.Agents) / float64(t.Zones)
+	left := float64(t.Agents) - zone
+	return Table{Name: "events", Rows: []Row{
+		e.row("ordinary day: replaced agents, first announcements and links", "a day at one entry", "299 x subset / entries", func(d Design) float64 {
+			return float64(t.Replaced) * subset(d) / entries
+		}),
+		e.row("ordinary day: replaced agents, announcements", "bytes/s at one entry", "announcement-bytes x those / 86,400", func(d Design) float64 {
+			return e.each("announcement-bytes") * float64(t.Replaced) * subset(d) / entries / daySeconds
+		}),
+		e.row("rack lost: links that break", "links at all entries", "3 x subset", func(d Design) float64 { return float64(t.RackAgents) * subset(d) }),
+		e.row("zone lost: links that break at the entries left", "links at one entry", "agents of the zone x subset / entries", func(d Design) float64 {
+			return zone * subset(d) / entries
+		}),
+		e.row("zone lost: agents left that choose another entry", "announcements at one entry left", "agents left x subset x lost part / entries left", func(d Design) float64 {
+			return left * subset(d) / float64(t.Zones) / (entries - entries/float64(t.Zones))
+		}),
+		e.row("zone back, all within 1 s: lists", reads, "agents of the zone", func(Design) float64 { return zone }),
+		e.row("zone back, all within 1 s: announcements and links", "a second at one entry", "agents of the zone x subset / entries", func(d Design) float64 {
+			return zone * subset(d) / entries
+		}),
+		e.row("zone back, all within 1 s: announcements", "% of a core at one entry", "announcement-time x those", func(d Design) float64 {
+			return percent * micro * e.each("announcement-time") * zone * subset(d) / entries
+		}),
+		e.row("store back after an hour: lists by agents within one period", reads, "agents / period", func(d Design) float64 {
+			return float64(t.Agents) * perSecond(d.AgentList)
+		}),
+		e.row("store back after an hour: changes to catch up with", "changes", "changes a day / 24", func(Design) float64 { return float64(t.ChangesPerDay) / 24 }),
+		e.row("one change: reads that bring it to all entries", "reads", "2 x entries", func(Design) float64 { return 2 * entries }),
+		{
+			What: "one change: time until it is in force at all entries", Unit: "ms", How: "change-in-force at all entries, as measured; the letter allows 5 s",
+			Ships: e.at("change-in-force", entries), Proposed: e.at("change-in-force", entries), Limit: 5000,
+		},
+	}}
+}
