--- a/surveyor/announcing.go
+++ b/surveyor/announcing.go
@@ -18,6 +18,7 @@
 	"agatevalve/entry"
 	"agatevalve/loader"
 	"agatevalve/registrar"
+	"agatevalve/tabler"
 )
 
 const (
@@ -59,7 +60,7 @@
 }
 
 // newEntry starts a whole entry.
-func newEntry() (*entry.Entry, error) {
+func newEntry(table tabler.Table) (*entry.Entry, error) {
 	limits := loader.DefaultLimits()
 	limits.StopNotice = 0
 	address := netip.MustParseAddrPort(loopback)
@@ -67,7 +68,7 @@
 		Settings: loader.Entry{
 			Name: entryProcess.Name, Zone: zone, Callers: address, Operators: address, Internal: address, Limits: limits,
 		},
-		Table: fastTable(),
+		Table: table,
 	})
 }
 
@@ -133,12 +134,12 @@
 // announcements measures an agent that announces itself to an entry, which has
 // a link to it.
 func (s *survey) announcements(ctx context.Context) ([]Slope, error) {
-	agents, closeAll, err := newAgents(ctx, 1)
+	agents, closeAll, err := newAgents(ctx, 1, fastTable())
 	defer closeAll()
 	if err != nil {
 		return nil, err
 	}
-	e, err := newEntry()
+	e, err := newEntry(fastTable())
 	if err != nil {
 		return nil, err
 	}
--- a/surveyor/linking.go
+++ b/surveyor/linking.go
@@ -17,6 +17,7 @@
 	"agatevalve/dispatcher"
 	"agatevalve/linker"
 	"agatevalve/loader"
+	"agatevalve/tabler"
 )
 
 const (
@@ -43,8 +44,9 @@
 	responseBody = []byte(`{"hold":"confirmed","until":"2026-12-04T10:45"}`)
 )
 
-// newAgent starts an agent that knows no entry and so announces itself to none.
-func newAgent(i int, minion netip.AddrPort) (*attendant.Attendant, error) {
+// newAgent starts an agent. With an empty table it knows no entry, and
+// announces itself to none.
+func newAgent(i int, minion netip.AddrPort, table tabler.Table) (*attendant.Attendant, error) {
 	settings := loader.DefaultAgent()
 	settings.Name = fmt.Sprintf("ascenso-desk-%04d", i)
 	settings.Zone = zone
@@ -52,7 +54,7 @@
 	settings.Minion = minion
 	settings.Pools = []string{poolName}
 	settings.Slots = agentSlots
-	return attendant.New(attendant.Options{Settings: settings, Table: fastTable(), Logger: silentLog()})
+	return attendant.New(attendant.Options{Settings: settings, Table: table, Logger: silentLog()})
 }
 
 func closeAgents(agents []*attendant.Attendant) {
@@ -147,7 +149,7 @@
 	if l.minion, err = serve(ctx, http.HandlerFunc(answering)); err != nil {
 		return nil, err
 	}
-	if l.agent, err = newAgent(1, l.minion.address); err != nil {
+	if l.agent, err = newAgent(1, l.minion.address, fastTable()); err != nil {
 		l.minion.close()
 		return nil, err
 	}
@@ -190,7 +192,7 @@
 // links measures what open links hold, and what their pings take, at both ends
 // together.
 func (s *survey) links(ctx context.Context) ([]Slope, error) {
-	agents, closeAll, err := newAgents(ctx, linkedAgents)
+	agents, closeAll, err := newAgents(ctx, linkedAgents, fastTable())
 	defer closeAll()
 	if err != nil {
 		return nil, err
@@ -253,7 +255,7 @@
 
 // newAgents starts agents beside one stand-in minion. The returned function
 // closes what was started, after an error too.
-func newAgents(ctx context.Context, n int) ([]*attendant.Attendant, func(), error) {
+func newAgents(ctx context.Context, n int, table tabler.Table) ([]*attendant.Attendant, func(), error) {
 	minion, err := serve(ctx, http.HandlerFunc(answering))
 	if err != nil {
 		return nil, func() {}, err
@@ -264,7 +266,7 @@
 		minion.close()
 	}
 	for i := range n {
-		a, err := newAgent(i, minion.address)
+		a, err := newAgent(i, minion.address, table)
 		if err != nil {
 			return nil, closeAll, err
 		}
@@ -304,7 +306,7 @@
 		closeAll := func() {}
 		defer func() { closeAll() }()
 		bytes, err := held(func() (agents []*attendant.Attendant, err error) {
-			agents, closeAll, err = newAgents(ctx, n)
+			agents, closeAll, err = newAgents(ctx, n, fastTable())
 			return agents, err
 		})
 		return []float64{bytes}, err
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -72,6 +72,7 @@
 		{"links", s.links},
 		{"agents", s.agents},
 		{"starts over a link", s.linkStarts},
+		{"requests", s.requests},
 		{"starts in the core", s.coreStarts},
 		{"starts in the agent", s.agentStarts},
 		{"tasks", s.tasks},
