dispatcher: Keep callers through an edit of idempotence

Cause: a keyed job without a claim that failed left its alias behind. When an edit made the route non-idempotent, a resubmission met the alias before the claimed job that ran under the key's own id, found it restartable, and replaced the claimed job. The callers of that job never got a reply.

Ruled out: a second start.

Change: the claimed job is looked up first. An idempotent submission passes over it only when it was proved not to have run.

--- a/dispatcher/submitting.go
+++ b/dispatcher/submitting.go
@@ -62,14 +62,23 @@
 	c.wake(timer{at: j.submission.Deadline.Add(-margin), kind: timerClose, job: j})
 }
 
-// known returns the job of an earlier submission with the same key, or nil.
+// known returns the job of an earlier submission with the same key, or nil. An
+// edit may have made the key's route idempotent, or not, in between: then both
+// a claimed job and one without a claim may be here, and the claimed one is the
+// key's, unless it was proved not to have run.
 func (c *Core) known(s Submission) *job {
+	j := c.jobs[s.Job]
+	if j != nil && (!s.Plan.Route.Idempotent || !j.provedNotRun()) {
+		return j
+	}
 	if id, ok := c.aliases[s.Job]; ok {
 		return c.jobs[id]
 	}
-	return c.jobs[s.Job]
+	return nil
 }
 
+func (j *job) provedNotRun() bool { return j.phase == phaseDone && j.answer.Outcome == task.NotRun }
+
 // runID returns the id under which agents see the job. A keyed job without a
 // claim may run at two entries at once, with different content, so each run
 // has an id of its own.
