dispatcher: Plant faults that the fuzz's oracle must catch

The oracle could not say which promise a violation breaks, and nothing showed that it catches one.

New checks: a leaving agent accepts nothing new; an entry sends it nothing 6 s after its drain, also when announcements and frames are lost; planned stops of entries and agents leave no caller and no call to a minion; other content under a claimed key never starts; what drains can stop in the end.

Not-run is not judged for a key whose route was idempotent at one submission and not at another: what ran without a claim leaves no record.

--- a/dispatcher/fuzz_test.go
+++ b/dispatcher/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -11,7 +12,6 @@
 
 	"agatevalve/common/task"
 	"agatevalve/dispatcher"
-	"agatevalve/runner"
 )
 
 // TestMain fixes the seed of rapid, so that each run gives the same verdict.
@@ -27,29 +27,25 @@
 	os.Exit(m.Run())
 }
 
-// reached counts the fuzz actions that did something.
-var reached = make(map[string]int)
-
 func TestFuzzPromises(t *testing.T) {
+	c := newCoverage()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), 2, 3)
-		f := &fuzzer{w: w}
+		f := &fuzzer{w: w, coverage: c, last: make(map[fault]time.Time)}
 		t.Repeat(f.actions())
 		f.heal()
 		f.check(t)
-		for outcome, n := range w.oracle.outcomes {
-			outcomes[outcome] += n
-		}
+		f.checkIdle(t)
+		c.add(w)
 	})
-	t.Logf("actions reached: %v", reached)
-	t.Logf("outcomes: %v", outcomes)
+	c.report(t)
 }
 
-// outcomes counts the replies of all runs.
-var outcomes = make(map[task.Outcome]int)
-
 type fuzzer struct {
-	w *world
+	w        *world
+	coverage *coverage
+	// last is when each fault last struck, or was last seen to last.
+	last map[fault]time.Time
 	// steps counts the finished actions, and picks the draws of the present
 	// one. A skipped action leaves no mark, so that rapid can replay a run.
 	steps, picks uint64
@@ -72,27 +68,48 @@
 		t.Fatalf("violations: %v", f.w.oracle.violations)
 	}
 	if late := f.w.oracle.unanswered(f.w); len(late) > 0 {
+		t.Logf("trace:\n%s", strings.Join(f.w.trace, "\n"))
 		t.Fatalf("callers without a reply: %v", late)
 	}
 }
 
+// checkIdle expects that what is draining has finished, now that all faults
+// have ended and all deadlines have passed.
+func (f *fuzzer) checkIdle(t *rapid.T) {
+	for _, n := range f.w.entries {
+		if n.draining && !f.w.stopEntry(n) {
+			t.Fatalf("%v can't stop", n.self)
+		}
+	}
+	for _, h := range f.w.agents {
+		if h.leaving && !f.w.stopAgent(h) {
+			t.Fatalf("%v can't stop", h.self)
+		}
+	}
+	f.check(t)
+}
+
 // action is a fuzz step with its share of all steps.
 type action struct {
 	name  string
 	share int
 	do    func(*rapid.T)
+	// fault is empty for actions that are none.
+	fault fault
 }
 
-func (f *fuzzer) actions() map[string]func(*rapid.T) {
-	list := []action{
-		{"submit", 20, f.submit}, {"deliver", 30, f.deliver}, {"deliver-oldest", 40, f.deliverOldest},
-		{"lose", 3, f.lose}, {"double", 4, f.double}, {"fail", 4, f.fail},
-		{"pass-time", 12, f.passTime}, {"link-lost", 4, f.linkLost},
-		{"crash-entry", 2, f.crashEntry}, {"pause-entry", 4, f.pauseEntry},
-		{"crash-agent", 2, f.crashAgent}, {"pause-agent", 4, f.pauseAgent},
-		{"hang-minion", 2, f.hangMinion}, {"store", 3, f.store}, {"withdraw", 3, f.withdraw},
-		{"drain-agent", 3, f.drainAgent}, {"drain-entry", 2, f.drainEntry},
+// work lists the actions that are no faults.
+func (f *fuzzer) work() []action {
+	return []action{
+		{"submit", 24, f.submit, ""}, {"deliver-oldest", 60, f.deliverOldest, ""}, {"pass-time", 12, f.passTime, ""},
+		{"pass-moment", 12, f.passMoment, ""}, {"withdraw", 3, f.withdraw, ""},
+		{"mend", 6, f.mend, ""},
+		{"stop-agent", 3, f.stopAgent, ""}, {"stop-entry", 3, f.stopEntry, ""},
 	}
+}
+
+func (f *fuzzer) actions() map[string]func(*rapid.T) {
+	list := append(f.work(), f.faults()...)
 	var shares []action
 	for _, a := range list {
 		for range a.share {
@@ -104,7 +121,8 @@
 		a := shares[f.pick(t, len(shares))]
 		a.do(t)
 		f.steps++
-		reached[a.name]++
+		f.coverage.actions[a.name]++
+		f.strike(a.fault)
 	}
 	return map[string]func(*rapid.T){"step": step, "": f.check}
 }
@@ -117,8 +135,11 @@
 	return f.w.agents[f.pick(t, len(f.w.agents))]
 }
 
+// keyFor is how long a run uses a key, before it goes on with a new one.
+const keyFor = 25 * time.Second
+
 func (f *fuzzer) submit(t *rapid.T) {
-	key := []task.Key{"", "a", "b", "c", "idempotent"}[f.pick(t, 5)]
+	key := []task.Key{"", "a", "b", "c", "d", "idempotent"}[f.pick(t, 6)]
 	variant := 0
 	if f.pick(t, 10) == 0 {
 		variant = 1
@@ -127,13 +148,26 @@
 	if key != "" {
 		tasks = 1 + int(key[0])%3
 	}
-	idempotent := key == "idempotent" || key == "" && rapid.Bool().Draw(t, "idempotent")
+	r := f.routeOf(key)
+	if key != "" {
+		key += task.Key(fmt.Sprint(int(f.w.now.Sub(epoch) / keyFor)))
+	} else {
+		r.idempotent = rapid.Bool().Draw(t, "idempotent")
+	}
 	within := time.Duration(100+f.pick(t, 8900)) * time.Millisecond
 	n := f.entry(t)
 	if n.paused {
 		t.Skip("the entry is paused")
 	}
-	f.w.submit(n, key, variant, tasks, idempotent, within)
+	f.w.submit(n, key, variant, tasks, r, within)
+}
+
+// routeOf returns what the configuration says of a key.
+func (f *fuzzer) routeOf(key task.Key) route {
+	if r, ok := f.w.routes[key]; ok {
+		return r
+	}
+	return desk
 }
 
 // index draws a message that fits, or skips.
@@ -150,12 +184,6 @@
 	return found[f.pick(t, len(found))]
 }
 
-func (f *fuzzer) deliverable(m message) bool { return !m.store || !f.w.down }
-
-func (f *fuzzer) deliver(t *rapid.T) {
-	f.w.take(f.index(t, f.deliverable)).deliver()
-}
-
 func (f *fuzzer) deliverOldest(t *rapid.T) {
 	for range rapid.IntRange(1, 12).Draw(t, "count") {
 		f.deliverFirst()
@@ -164,7 +192,7 @@
 
 func (f *fuzzer) deliverFirst() bool {
 	for i, m := range f.w.flight {
-		if f.deliverable(m) {
+		if f.w.deliverable(m) {
 			f.w.take(i).deliver()
 			return true
 		}
@@ -172,114 +200,73 @@
 	return false
 }
 
-func (f *fuzzer) lose(t *rapid.T) {
-	f.w.take(f.index(t, func(m message) bool { return m.frame }))
-}
-
-func (f *fuzzer) double(t *rapid.T) {
-	f.w.flight[f.index(t, func(m message) bool { return m.frame })].deliver()
-}
-
-// fail gives up on a call; the call may still arrive later.
-func (f *fuzzer) fail(t *rapid.T) {
-	i := f.index(t, func(m message) bool { return m.fail != nil })
-	m := f.w.flight[i]
-	if rapid.Bool().Draw(t, "lost") {
-		f.w.take(i)
-	} else {
-		f.w.flight[i].fail = nil
-	}
-	m.fail()
-}
-
 func (f *fuzzer) passTime(t *rapid.T) {
 	f.w.advance(f.w.now.Add(time.Duration(1+f.pick(t, 2500)) * time.Millisecond))
 }
 
-func (f *fuzzer) linkLost(t *rapid.T) {
-	n, h := f.entry(t), f.agent(t)
-	f.w.toEntry(n, n.self, dispatcher.LinkLost{Agent: h.self})
-	f.w.toAgent(h, h.self, runner.LinkClosed{Entry: n.self})
-	f.w.toAgent(h, h.self, runner.LinkOpened{Entry: n.self})
+func (f *fuzzer) passMoment(t *rapid.T) {
+	f.w.advance(f.w.now.Add(time.Duration(1+f.pick(t, 100)) * time.Millisecond))
 }
 
-func (f *fuzzer) crashEntry(t *rapid.T) { f.w.bootEntry(f.entry(t)) }
-
-func (f *fuzzer) pauseEntry(t *rapid.T) {
-	n := f.entry(t)
-	if n.paused {
-		f.w.resumeEntry(n)
-		return
-	}
-	n.paused = true
-}
-
-func (f *fuzzer) crashAgent(t *rapid.T) { f.w.bootAgent(f.agent(t)) }
-
-func (f *fuzzer) pauseAgent(t *rapid.T) {
-	h := f.agent(t)
-	if h.paused {
-		f.w.resumeAgent(h)
-		return
+func (f *fuzzer) withdraw(t *rapid.T) {
+	open := f.waiting()
+	if len(open) == 0 {
+		t.Skip("nobody waits")
 	}
-	h.paused = true
-}
-
-func (f *fuzzer) hangMinion(t *rapid.T) {
-	h := f.agent(t)
-	h.hung = !h.hung
+	f.w.withdraw(rapid.SampledFrom(open).Draw(t, "ticket"))
 }
 
-func (f *fuzzer) store(*rapid.T) { f.w.down = !f.w.down }
-
-func (f *fuzzer) withdraw(t *rapid.T) {
+// waiting lists the callers without a reply whose entry is there.
+func (f *fuzzer) waiting() []dispatcher.Ticket {
 	var open []dispatcher.Ticket
 	for ticket := dispatcher.Ticket(1); ticket <= dispatcher.Ticket(f.w.ticket); ticket++ {
-		if c := f.w.oracle.calls[ticket]; c != nil && !c.replied {
+		c := f.w.oracle.calls[ticket]
+		if c == nil || c.replied {
+			continue
+		}
+		if n := f.w.node(c.entry); n.self == c.entry && !n.paused {
 			open = append(open, ticket)
 		}
 	}
-	if len(open) == 0 {
-		t.Skip("nobody waits")
-	}
-	ticket := rapid.SampledFrom(open).Draw(t, "ticket")
-	c := f.w.oracle.calls[ticket]
-	n := f.w.node(c.entry)
-	if n.self != c.entry || n.paused {
-		t.Skip("the entry is not there")
-	}
-	c.replied = true
-	f.w.toEntry(n, n.self, dispatcher.Withdrawn{Ticket: ticket})
+	return open
 }
 
-func (f *fuzzer) drainAgent(t *rapid.T) {
-	h := f.agent(t)
-	leave := rapid.Bool().Draw(t, "leave")
-	f.w.ticket++
-	f.w.toAgent(h, h.self, runner.Drained{Ticket: runner.Ticket(f.w.ticket), Leave: leave})
+func (f *fuzzer) stopAgent(t *rapid.T) {
+	if !f.w.stopAgent(f.agent(t)) {
+		t.Skip("the agent can't stop")
+	}
 }
 
-func (f *fuzzer) drainEntry(t *rapid.T) {
-	n := f.entry(t)
-	if n.draining {
-		f.w.bootEntry(n)
-		return
+func (f *fuzzer) stopEntry(t *rapid.T) {
+	if !f.w.stopEntry(f.entry(t)) {
+		t.Skip("the entry can't stop")
 	}
-	n.draining = true
-	f.w.toEntry(n, n.self, dispatcher.Drained{})
 }
 
-// heal ends all faults and lets every deadline pass.
-func (f *fuzzer) heal() {
+// mend ends all faults that last.
+func (f *fuzzer) mend(*rapid.T) {
 	f.w.down = false
-	for _, h := range f.w.agents {
-		f.w.resumeAgent(h)
-	}
+	f.w.slowUntil = time.Time{}
+	clear(f.w.deaf)
 	for _, n := range f.w.entries {
+		for _, h := range f.w.agents {
+			f.endSilence(n, h)
+		}
 		if n.paused {
 			f.w.resumeEntry(n)
 		}
 	}
+	for _, h := range f.w.agents {
+		h.hung, h.failing, h.skew = false, false, 0
+		if h.paused {
+			f.w.resumeAgent(h)
+		}
+	}
+}
+
+// heal ends all faults and lets every deadline pass.
+func (f *fuzzer) heal() {
+	f.mend(nil)
 	for range 40 {
 		for f.deliverFirst() {
 		}
--- a/dispatcher/oracle_test.go
+++ b/dispatcher/oracle_test.go
@@ -8,8 +8,33 @@
 
 	"agatevalve/common/task"
 	"agatevalve/dispatcher"
+	"agatevalve/runner"
 )
 
+// promise names what a violation breaks.
+type promise string
+
+const (
+	startsOnce   promise = "each task of a submission starts at most once"
+	wholeOrNone  promise = "an answer is complete or failed, never partial"
+	ownAnswer    promise = "a caller gets the whole answer to its own request"
+	notRunIsTrue promise = "a refusal that says not-run is true"
+	runsOnce     promise = "a non-idempotent request runs at most once"
+	leavesAlone  promise = "a leaving minion gets no new work"
+	cutsNothing  promise = "a planned stop cuts no request in flight"
+	inTime       promise = "each caller gets one reply by its deadline, and no start comes after it"
+)
+
+// leaveWithin bounds the sends to an agent that has left, also when the entry
+// hears nothing of it.
+const leaveWithin = announceFor
+
+// violation is a broken promise.
+type violation struct {
+	promise promise
+	text    string
+}
+
 // oracle keeps only starts per task, answers per caller, refusals and
 // deadlines, and collects what breaks a promise.
 type oracle struct {
@@ -21,8 +46,18 @@
 	// refused holds, for each job and content, the time of the latest not-run reply that
 	// left no other caller waiting.
 	refused    map[string]time.Time
-	violations []string
-	outcomes   map[task.Outcome]int
+	violations []violation
+	// contents holds the content that first ran under each claimed key.
+	contents map[string]string
+	// free holds the jobs whose route was idempotent at a submission.
+	free map[string]bool
+	// bound holds the jobs whose route was not.
+	bound map[string]bool
+	// left is when each leaving agent was drained.
+	left map[task.Process]time.Time
+	// taken holds the attempts that each agent accepted.
+	taken    map[taking]bool
+	outcomes map[task.Outcome]int
 }
 
 type caller struct {
@@ -53,6 +88,12 @@
 	return subject.job + "/" + variant
 }
 
+// taking is an attempt that an agent accepted.
+type taking struct {
+	agent task.Process
+	work  work
+}
+
 type start struct {
 	agent task.Process
 	body  string
@@ -65,49 +106,125 @@
 		whole:    make(map[string][][]byte),
 		refused:  make(map[string]time.Time),
 		outcomes: make(map[task.Outcome]int),
+		contents: make(map[string]string),
+		free:     make(map[string]bool),
+		bound:    make(map[string]bool),
+		left:     make(map[task.Process]time.Time),
+		taken:    make(map[taking]bool),
 	}
 }
 
-func (o *oracle) violate(format string, args ...any) {
-	o.violations = append(o.violations, fmt.Sprintf(format, args...))
+func (o *oracle) violate(p promise, format string, args ...any) {
+	o.violations = append(o.violations, violation{p, fmt.Sprintf(format, args...)})
 }
 
 func (o *oracle) submitted(_ time.Time, entry task.Process, s dispatcher.Submission) {
 	o.calls[s.Ticket] = &caller{submission: s, entry: entry}
 	delete(o.refused, contentOf(s.Tasks[0]))
+	subject, _ := subjectOf(s.Tasks[0])
+	if s.Plan.Route.Idempotent {
+		o.free[subject.job] = true
+	} else {
+		o.bound[subject.job] = true
+	}
 }
 
-// started records that a minion got a task.
+// started records that a minion got a task, at the time of its agent's clock.
 func (o *oracle) started(now time.Time, agent task.Process, s task.Start) {
-	task, _ := subjectOf(s.Request)
-	if len(o.starts[task]) > 0 && !strings.HasPrefix(task.job, "idempotent") {
-		o.violate("task %v started twice: %v then %v", task, o.starts[task], agent)
+	task, variant := subjectOf(s.Request)
+	if len(o.starts[task]) > 0 && !o.free[task.job] {
+		o.violate(onceOf(task), "task %v started twice: %v then %v", task, o.starts[task], agent)
 	}
-	if at, refused := o.refused[contentOf(s.Request)]; refused {
-		o.violate("task %v started after it was refused as not run at %s", task, at)
+	if first, ok := o.contents[task.job]; ok && first != variant && !o.free[task.job] {
+		o.violate(startsOnce, "task %v started with another body under its key", task)
+	}
+	o.contents[task.job] = variant
+	if at, refused := o.refused[contentOf(s.Request)]; refused && !o.mixed(task.job) {
+		o.violate(notRunIsTrue, "task %v started after it was refused as not run at %s", task, at)
 	}
 	if !now.Before(s.Deadline) {
-		o.violate("task %v started after its deadline", task)
+		o.violate(inTime, "task %v started after its deadline", task)
 	}
 	o.starts[task] = append(o.starts[task], start{agent: agent, body: string(s.Request.Body)})
 }
 
+// mixed reports whether an edit made a job's route idempotent, or not, between
+// two submissions. What ran under the key without a claim left no record, so
+// that a later not-run speaks of its own submission only.
+func (o *oracle) mixed(job string) bool { return o.free[job] && o.bound[job] }
+
+// onceOf returns the promise that a second start of a task breaks.
+func onceOf(s subject) promise {
+	if strings.HasPrefix(s.job, "keyless") {
+		return runsOnce
+	}
+	return startsOnce
+}
+
+// drained notes that an operator has an agent leave, or stay again.
+func (o *oracle) drained(now time.Time, h *host, leave bool) {
+	if _, already := o.left[h.self]; !leave {
+		delete(o.left, h.self)
+	} else if !already {
+		o.left[h.self] = now
+	}
+}
+
+// accepted checks that a leaving agent takes no attempt that it hadn't.
+func (o *oracle) accepted(h *host, c runner.Accept) {
+	t := taking{h.self, work{c.Task, c.Attempt}}
+	if _, leaving := o.left[h.self]; leaving && !o.taken[t] {
+		o.violate(leavesAlone, "%v accepted task %v after its drain", h.self, c.Task)
+	}
+	o.taken[t] = true
+}
+
+// sent checks that an entry sends nothing to an agent that left a while ago.
+func (o *oracle) sent(now time.Time, n *node, s dispatcher.Send) {
+	at, leaving := o.left[s.Agent.Process]
+	if !leaving {
+		return
+	}
+	if n.resumed.After(at) {
+		at = n.resumed
+	}
+	if now.After(at.Add(leaveWithin)) {
+		o.violate(leavesAlone, "%v sent task %v to %v %s after its drain", n.self, s.Start.Task, s.Agent.Process, now.Sub(at))
+	}
+}
+
+// stoppedAgent checks that a planned stop cuts no call to the minion.
+func (o *oracle) stoppedAgent(h *host) {
+	for call := range h.calls {
+		o.violate(cutsNothing, "%v stopped while its minion had task %v", h.self, call.task)
+	}
+}
+
+// stoppedEntry checks that a planned stop leaves no caller without a reply.
+func (o *oracle) stoppedEntry(n *node) {
+	for ticket, c := range o.calls {
+		if c.entry == n.self && !c.replied {
+			o.violate(cutsNothing, "%v stopped and left ticket %d without a reply", n.self, ticket)
+		}
+	}
+}
+
 // replied checks one reply to a caller.
 func (o *oracle) replied(now time.Time, r dispatcher.Reply) {
 	c := o.calls[r.Ticket]
 	switch {
 	case c == nil:
-		o.violate("ticket %d was never submitted", r.Ticket)
+		o.violate(ownAnswer, "ticket %d was never submitted", r.Ticket)
 		return
 	case c.replied:
-		o.violate("ticket %d got two replies", r.Ticket)
+		o.violate(inTime, "ticket %d got two replies", r.Ticket)
 		return
 	}
 	c.replied = true
 	c.answer = r.Answer
 	o.outcomes[r.Answer.Outcome]++
 	if now.After(c.submission.Deadline) && !c.frozen {
-		o.violate("ticket %d was answered after its deadline", r.Ticket)
+		o.violate(inTime, "ticket %d was answered after its deadline", r.Ticket)
 	}
 	switch r.Answer.Outcome {
 	case task.Complete:
@@ -116,10 +233,10 @@
 		o.notRun(now, c)
 	case task.Failed, task.MayHaveRun:
 		if len(r.Answer.Responses) > 0 {
-			o.violate("ticket %d got a partial answer", r.Ticket)
+			o.violate(wholeOrNone, "ticket %d got a partial answer", r.Ticket)
 		}
 	default:
-		o.violate("ticket %d got no outcome", r.Ticket)
+		o.violate(wholeOrNone, "ticket %d got no outcome", r.Ticket)
 	}
 }
 
@@ -128,22 +245,22 @@
 func (o *oracle) completed(c *caller) {
 	s := c.submission
 	if len(c.answer.Responses) != len(s.Tasks) {
-		o.violate("ticket %d got %d of %d responses", s.Ticket, len(c.answer.Responses), len(s.Tasks))
+		o.violate(wholeOrNone, "ticket %d got %d of %d responses", s.Ticket, len(c.answer.Responses), len(s.Tasks))
 		return
 	}
 	var bodies [][]byte
 	for i, r := range c.answer.Responses {
 		if !bytes.Equal(r.Body, answerTo(s.Tasks[i])) {
-			o.violate("ticket %d got %q for task %d", s.Ticket, r.Body, i)
+			o.violate(ownAnswer, "ticket %d got %q for task %d", s.Ticket, r.Body, i)
 		}
 		if task, _ := subjectOf(s.Tasks[i]); len(o.starts[task]) == 0 {
-			o.violate("ticket %d got an answer of task %d, which never ran", s.Ticket, i)
+			o.violate(ownAnswer, "ticket %d got an answer of task %d, which never ran", s.Ticket, i)
 		}
 		bodies = append(bodies, r.Body)
 	}
 	content := contentOf(s.Tasks[0])
 	if first := o.whole[content]; first != nil && fmt.Sprint(first) != fmt.Sprint(bodies) {
-		o.violate("ticket %d got another answer than an earlier caller", s.Ticket)
+		o.violate(ownAnswer, "ticket %d got another answer than an earlier caller", s.Ticket)
 	}
 	o.whole[content] = bodies
 }
@@ -153,9 +270,12 @@
 	s := c.submission
 	for i := range s.Tasks {
 		task, _ := subjectOf(s.Tasks[i])
+		if o.mixed(task.job) {
+			return
+		}
 		for _, st := range o.starts[task] {
 			if st.body == string(s.Tasks[i].Body) {
-				o.violate("ticket %d was told not-run, but task %d ran at %v", s.Ticket, i, st.agent)
+				o.violate(notRunIsTrue, "ticket %d was told not-run, but task %d ran at %v", s.Ticket, i, st.agent)
 			}
 		}
 	}
--- a/dispatcher/world_test.go
+++ b/dispatcher/world_test.go
@@ -1,9 +1,12 @@
 package dispatcher_test
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"agatevalve/common/task"
@@ -12,6 +15,9 @@
 	"agatevalve/runner"
 )
 
+// announceFor is how long an announcement stands.
+const announceFor = 6 * time.Second
+
 // world joins shipped entry and agent cores by a network, a store and minions
 // that do what the fuzz decides. Every message waits in flight until delivered.
 type world struct {
@@ -24,6 +30,17 @@
 	flight  []message
 	oracle  *oracle
 	ticket  uint64
+	ports   ports
+	// counts holds the counters of each run of an entry.
+	counts map[task.Process]dispatcher.Counters
+	// silent pairs exchange no frames; deaf pairs exchange no announcements.
+	silent map[pair]bool
+	deaf   map[pair]bool
+	// slowUntil is when claims that are posted now reach the store at the
+	// earliest.
+	slowUntil time.Time
+	// routes holds what the configuration says of each key's route.
+	routes map[task.Key]route
 	// trace tells what the cores did, for the report of a failure.
 	trace []string
 	// asks and calls name the question that a ticket stands for.
@@ -41,6 +58,21 @@
 	frame bool
 	// store is true for claims, which wait while the store is down.
 	store bool
+	// result is true for the store's reply to a claim.
+	result bool
+	// pair is set for frames.
+	pair pair
+	// at is the earliest time of delivery.
+	at time.Time
+}
+
+// pair names an entry and an agent by their places.
+type pair struct{ entry, agent string }
+
+// route is what the configuration says of a key.
+type route struct {
+	pool       string
+	idempotent bool
 }
 
 type question struct {
@@ -61,6 +93,8 @@
 	draining bool
 	// held are events that wait for the end of a pause.
 	held []dispatcher.Event
+	// resumed is when the last pause ended.
+	resumed time.Time
 }
 
 // host is an agent that restarts with a new incarnation.
@@ -72,14 +106,31 @@
 	held   []runner.Event
 	// hung minions take tasks and never answer.
 	hung bool
+	// failing minions answer everything with an error.
+	failing bool
+	// skew is how far the agent's clock is ahead.
+	skew time.Duration
+	// leaving is true from a drain on.
+	leaving bool
+	// calls are the tasks that the minion has.
+	calls map[work]bool
+}
+
+// work names an attempt at a minion.
+type work struct {
+	task    task.ID
+	attempt task.Attempt
 }
 
 func newWorld(seed uint64, entries, agents int) *world {
 	w := &world{
 		now: epoch, random: rand.New(rand.NewPCG(seed, 1)),
 		claims: make(map[task.JobID]dispatcher.Claim), oracle: newOracle(),
-		asks:  make(map[dispatcher.Ticket]question),
-		calls: make(map[runner.Ticket]callback),
+		asks:   make(map[dispatcher.Ticket]question),
+		calls:  make(map[runner.Ticket]callback),
+		counts: make(map[task.Process]dispatcher.Counters),
+		silent: make(map[pair]bool), deaf: make(map[pair]bool),
+		routes: map[task.Key]route{"": {pool: "desk"}, "idempotent": {pool: "desk", idempotent: true}},
 	}
 	for i := range entries {
 		n := &node{name: fmt.Sprintf("entry-%d", i)}
@@ -109,7 +160,8 @@
 
 func (w *world) bootAgent(h *host) {
 	h.self = task.Process{Name: h.name, Incarnation: h.self.Incarnation + 1}
-	h.paused, h.hung, h.held = false, false, nil
+	h.paused, h.hung, h.failing, h.leaving, h.held = false, false, false, false, nil
+	h.calls = make(map[work]bool)
 	h.core = runner.New(runner.Options{
 		Slots: 2, QueueLength: 1, Remember: 60, ResponseBytes: 1 << 10, ResultBytes: 1 << 16,
 	})
@@ -121,9 +173,9 @@
 func (w *world) announceAll() {
 	for _, h := range w.agents {
 		for _, n := range w.entries {
-			if !h.paused {
+			if !h.paused && !w.deaf[pair{n.name, h.name}] {
 				w.toEntry(n, n.self, dispatcher.Announced{Announcement: dispatcher.Announcement{
-					Peer: w.peer(h), Pools: []string{"desk"}, Load: h.core.Load(), Expires: w.now.Add(6 * time.Second),
+					Peer: w.peer(h), Pools: []string{"desk", "annex"}, Load: w.ports.loadOf(h), Expires: w.now.Add(announceFor),
 				}})
 			}
 		}
@@ -136,6 +188,12 @@
 
 func (w *world) post(m message) { w.flight = append(w.flight, m) }
 
+// deliverable reports whether a message can arrive now.
+func (w *world) deliverable(m message) bool {
+	cut := m.store && w.down || m.frame && w.silent[m.pair]
+	return !cut && !m.at.After(w.now)
+}
+
 // take removes a message from flight.
 func (w *world) take(i int) message {
 	m := w.flight[i]
@@ -155,6 +213,7 @@
 	if _, tick := event.(dispatcher.Tick); !tick {
 		w.note(n.self, event)
 	}
+	defer func() { w.counts[n.self] = n.core.Counters() }()
 	commands := append([]dispatcher.Command{}, n.core.Step(w.now, event)...)
 	for _, command := range commands {
 		w.obeyEntry(n, command)
@@ -169,7 +228,7 @@
 		h.held = append(h.held, event)
 		return
 	}
-	for _, command := range h.core.Step(w.now, event) {
+	for _, command := range h.core.Step(w.now.Add(h.skew), event) {
 		w.obeyAgent(h, command)
 	}
 }
@@ -197,205 +256,6 @@
 	w.trace = append(w.trace, fmt.Sprintf("%7.3f %s.%d %T %v", at, who.Name, who.Incarnation, what, what))
 }
 
-func (w *world) obeyEntry(n *node, command dispatcher.Command) {
-	self := n.self
-	w.note(self, command)
-	switch c := command.(type) {
-	case dispatcher.Reply:
-		w.reply(c)
-	case dispatcher.WriteClaim:
-		w.postClaim(n, c.Claim, func() bool { _, held := w.claims[c.Claim.Job]; return !held })
-	case dispatcher.TakeClaim:
-		w.postClaim(n, c.Claim, func() bool { return w.claims[c.Claim.Job].Token == c.Old.Token })
-	case dispatcher.AskOwner:
-		w.postAsk(n, c)
-	case dispatcher.Fence:
-		w.postFence(n, c)
-	case dispatcher.Settle:
-		w.postSettle(n, c)
-	case dispatcher.Send:
-		h := w.host(c.Agent.Process)
-		w.post(message{text: "start", frame: true, deliver: func() {
-			w.toAgent(h, c.Agent.Process, runner.Arrived{From: self, Start: c.Start})
-		}})
-	case dispatcher.Cancel:
-		h := w.host(c.Agent.Process)
-		w.post(message{text: "cancel", frame: true, deliver: func() {
-			w.toAgent(h, c.Agent.Process, runner.Cancelled{Task: c.Sent.Task, Attempt: c.Sent.Attempt})
-		}})
-	case dispatcher.Acknowledge:
-		h := w.host(c.Agent.Process)
-		w.post(message{text: "ack", frame: true, deliver: func() {
-			w.toAgent(h, c.Agent.Process, runner.Acknowledged{Task: c.Sent.Task, Attempt: c.Sent.Attempt})
-		}})
-	}
-}
-
-// reply ends a caller's wait or carries an owner's answer to the asker.
-func (w *world) reply(r dispatcher.Reply) {
-	q, asked := w.asks[r.Ticket]
-	if !asked {
-		w.oracle.replied(w.now, r)
-		return
-	}
-	delete(w.asks, r.Ticket)
-	to := q.asker.self
-	w.post(message{text: "owner answer", deliver: func() {
-		w.toEntry(q.asker, to, dispatcher.OwnerAnswered{Job: q.job, Known: r.Known, Answer: r.Answer})
-	}, fail: func() { w.toEntry(q.asker, to, dispatcher.OwnerLost{Job: q.job}) }})
-}
-
-// postClaim applies a claim once, late or never, and reports its fate. A claim
-// whose deadline has passed is reported as failed even if it took effect.
-func (w *world) postClaim(n *node, claim dispatcher.Claim, free func() bool) {
-	self := n.self
-	w.post(message{text: "claim", store: true, deliver: func() {
-		var event dispatcher.Event = dispatcher.ClaimWon{Claim: claim}
-		if free() {
-			w.claims[claim.Job] = claim
-		} else {
-			event = dispatcher.ClaimHeld{Claim: w.claims[claim.Job]}
-		}
-		w.post(message{text: "claim result", store: true, deliver: func() {
-			if _, won := event.(dispatcher.ClaimWon); won && !w.now.Before(claim.Deadline) {
-				event = dispatcher.ClaimFailed{Job: claim.Job, Reason: "its fate is unknown"}
-			}
-			w.toEntry(n, self, event)
-		}})
-	}})
-}
-
-func (w *world) postAsk(n *node, c dispatcher.AskOwner) {
-	self := n.self
-	lost := func() { w.toEntry(n, self, dispatcher.OwnerLost{Job: c.Claim.Job}) }
-	w.post(message{text: "ask", fail: lost, deliver: func() {
-		owner := w.node(c.Claim.Owner)
-		if owner == nil || owner.self != c.Claim.Owner || owner.paused {
-			lost()
-			return
-		}
-		w.ticket++
-		ticket := dispatcher.Ticket(1<<40 + w.ticket)
-		w.asks[ticket] = question{asker: n, core: owner.core, job: c.Claim.Job}
-		w.toEntry(owner, owner.self, dispatcher.Asked{
-			Ticket: ticket, Team: c.Claim.Team, Job: c.Claim.Job, Digest: c.Claim.Digest, Deadline: c.Deadline,
-		})
-	}})
-}
-
-func (w *world) postFence(n *node, c dispatcher.Fence) {
-	self, h := n.self, w.host(c.Agent.Process)
-	failed := func() { w.toEntry(n, self, dispatcher.FenceFailed{Job: c.Job, Agent: c.Agent.Process}) }
-	w.post(message{text: "fence", fail: failed, deliver: func() {
-		if h.self != c.Agent.Process {
-			failed()
-			return
-		}
-		w.ticket++
-		ticket := runner.Ticket(w.ticket)
-		w.calls[ticket] = func(command runner.Command) {
-			answer, ok := command.(runner.AnswerFence)
-			if !ok {
-				failed()
-				return
-			}
-			w.post(message{text: "fenced", fail: failed, deliver: func() {
-				w.toEntry(n, self, dispatcher.Fenced{Job: c.Job, Agent: c.Agent.Process, Reports: answer.Reports})
-			}})
-		}
-		w.toAgent(h, c.Agent.Process, runner.Fenced{Ticket: ticket, Fence: c})
-	}})
-}
-
-func (w *world) postSettle(n *node, c dispatcher.Settle) {
-	self, h := n.self, w.host(c.Agent.Process)
-	failed := func(gone bool) {
-		w.toEntry(n, self, dispatcher.SettleFailed{Agent: c.Agent.Process, Gone: gone, Tasks: c.Tasks})
-	}
-	w.post(message{text: "settle", fail: func() { failed(false) }, deliver: func() {
-		if h.self != c.Agent.Process {
-			failed(true)
-			return
-		}
-		w.ticket++
-		ticket := runner.Ticket(w.ticket)
-		w.calls[ticket] = func(command runner.Command) {
-			answer := command.(runner.AnswerSettle)
-			w.post(message{text: "settled", fail: func() { failed(false) }, deliver: func() {
-				w.toEntry(n, self, dispatcher.Settled{Agent: c.Agent.Process, Reports: answer.Reports})
-			}})
-		}
-		w.toAgent(h, c.Agent.Process, runner.Settled{Ticket: ticket, Tasks: c.Tasks})
-	}})
-}
-
-func (w *world) obeyAgent(h *host, command runner.Command) {
-	from := h.self
-	w.note(from, command)
-	frame := func(to task.Process, text string, event dispatcher.Event) {
-		load := h.core.Load()
-		w.post(message{text: text, frame: true, deliver: func() {
-			n := w.node(to)
-			w.toEntry(n, to, event)
-			w.toEntry(n, to, dispatcher.LoadSeen{Agent: from, Load: load})
-		}})
-	}
-	switch c := command.(type) {
-	case runner.Run:
-		w.run(h, c.Start)
-	case runner.Stop:
-		w.post(message{text: "stopped", deliver: func() {
-			w.toAgent(h, from, runner.MinionFailed{Task: c.Task, Attempt: c.Attempt, Reason: "stopped"})
-		}})
-	case runner.Accept:
-		frame(c.To, "accept", dispatcher.Accepted{Agent: from, Task: c.Task, Attempt: c.Attempt})
-	case runner.Refuse:
-		frame(c.To, "refuse", dispatcher.Refused{Agent: from, Report: c.Report})
-	case runner.Send:
-		frame(c.To, "result", dispatcher.Ended{Agent: from, Report: c.Report})
-	case runner.AnswerSettle:
-		w.answerCall(c.Ticket, c)
-	case runner.AnswerFence:
-		w.answerCall(c.Ticket, c)
-	case runner.Reject:
-		w.answerCall(c.Ticket, c)
-	}
-}
-
-func (w *world) answerCall(ticket runner.Ticket, command runner.Command) {
-	if call := w.calls[ticket]; call != nil {
-		delete(w.calls, ticket)
-		call(command)
-	}
-}
-
-// run starts a task at the minion, which answers when the fuzz says so.
-func (w *world) run(h *host, s task.Start) {
-	from := h.self
-	id := s.Task
-	if w.random.IntN(20) == 0 {
-		w.post(message{text: "unreached", deliver: func() {
-			w.toAgent(h, from, runner.MinionUnreached{Task: id, Attempt: s.Attempt})
-		}})
-		return
-	}
-	w.oracle.started(w.now, from, s)
-	if h.hung {
-		return
-	}
-	response := task.Response{Status: 200, Body: answerTo(s.Request)}
-	if w.random.IntN(12) == 0 {
-		response.Status = 500
-	}
-	w.post(message{text: "minion answer", deliver: func() {
-		w.toAgent(h, from, runner.MinionAnswered{Task: id, Attempt: s.Attempt, Response: response})
-	}, fail: func() {
-		w.toAgent(h, from, runner.MinionFailed{Task: id, Attempt: s.Attempt, Reason: "cut"})
-	}})
-}
-
-func answerTo(r task.Request) []byte { return append([]byte("answer to "), r.Body...) }
-
 // advance lets time pass, with a tick to each core when it wants one.
 func (w *world) advance(until time.Time) {
 	for {
@@ -411,11 +271,17 @@
 	w.announceAll()
 }
 
-// nextWake returns the earliest wake after now, or until.
+// nextWake returns the earliest wake, at least a millisecond from now, or until.
 func (w *world) nextWake(until time.Time) time.Time {
 	next := until
 	consider := func(t time.Time) {
-		if !t.IsZero() && t.After(w.now) && t.Before(next) {
+		if t.IsZero() {
+			return
+		}
+		if soon := w.now.Add(time.Millisecond); t.Before(soon) {
+			t = soon
+		}
+		if t.Before(next) {
 			next = t
 		}
 	}
@@ -423,7 +289,9 @@
 		consider(n.core.NextWake())
 	}
 	for _, h := range w.agents {
-		consider(h.core.NextWake())
+		if wake := h.core.NextWake(); !wake.IsZero() {
+			consider(wake.Add(-h.skew))
+		}
 	}
 	return next
 }
@@ -443,6 +311,7 @@
 
 func (w *world) resumeEntry(n *node) {
 	n.paused = false
+	n.resumed = w.now
 	w.oracle.resumed(w.now, n.self)
 	held := n.held
 	n.held = nil
@@ -463,14 +332,15 @@
 }
 
 // submit sends a submission of a caller to an entry.
-func (w *world) submit(n *node, key task.Key, variant, tasks int, idempotent bool, within time.Duration) dispatcher.Ticket {
+func (w *world) submit(n *node, key task.Key, variant, tasks int, r route, within time.Duration) {
 	w.ticket++
+	idempotent := r.idempotent
 	s := dispatcher.Submission{
 		Ticket: dispatcher.Ticket(w.ticket), Team: "climbs", Key: key,
 		Digest: task.Digest{byte(variant)}, Deadline: w.now.Add(within),
 		Plan: router.Plan{
-			Route: router.Route{Name: fmt.Sprint("route", idempotent), Pool: "desk", Idempotent: idempotent},
-			Pool:  router.Pool{Name: "desk"},
+			Route: router.Route{Name: fmt.Sprint("route", idempotent), Pool: r.pool, Idempotent: idempotent},
+			Pool:  router.Pool{Name: r.pool},
 		},
 	}
 	name := string(key)
@@ -488,5 +358,31 @@
 	}
 	w.oracle.submitted(w.now, n.self, s)
 	w.toEntry(n, n.self, dispatcher.Submitted{Submission: s})
-	return s.Ticket
+}
+
+// withdraw has a caller go away.
+func (w *world) withdraw(ticket dispatcher.Ticket) {
+	c := w.oracle.calls[ticket]
+	c.replied = true
+	w.toEntry(w.node(c.entry), c.entry, dispatcher.Withdrawn{Ticket: ticket})
+}
+
+// breakLink tells both ends that their link broke, and opens a new one.
+func (w *world) breakLink(n *node, h *host) {
+	w.toEntry(n, n.self, dispatcher.LinkLost{Agent: h.self})
+	w.toAgent(h, h.self, runner.LinkClosed{Entry: n.self})
+	w.toAgent(h, h.self, runner.LinkOpened{Entry: n.self})
+}
+
+// sortedCalls returns the calls of a minion in a fixed order.
+func sortedCalls(calls map[work]bool) []work {
+	return slices.SortedFunc(maps.Keys(calls), func(a, b work) int {
+		if order := cmp.Compare(a.task.Job.String(), b.task.Job.String()); order != 0 {
+			return order
+		}
+		if a.task.Index != b.task.Index {
+			return a.task.Index - b.task.Index
+		}
+		return int(a.attempt) - int(b.attempt)
+	})
 }
