docs: Say what agatevalve is, and how to operate it

A new user found no page at all. README leads from two commands to a first job and a first route in separate processes; docs/operations.md holds install, settings, listeners, commands, alarms, outages, drains and replacement.

So that pages and programs can't drift apart, three tests bind them. TestPages fails for each command in a block marked sh that no script runs; a script may add flags and has free addresses in place of those of the examples. The scripts readme-demo, readme-route and operations run them, in separate processes and with curl.

The agent ends at once at a second signal, as an entry does.

--- a/agatevalve-agent/main.go
+++ b/agatevalve-agent/main.go
@@ -56,5 +56,6 @@
 		return err
 	}
 	<-ctx.Done()
+	stop() // A second signal ends the process at once.
 	return a.Close(context.Background())
 }
--- a/testscripts/testscripts_test.go
+++ b/testscripts/testscripts_test.go
@@ -28,6 +28,8 @@
 	listenWithin = 20 * time.Second
 	dialPause    = 20 * time.Millisecond
 	writeMode    = 0o600
+	// directoryMode is that of the directories that scripts use.
+	directoryMode = 0o700
 )
 
 func TestMain(m *testing.M) {
@@ -43,6 +45,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	programs := buildPrograms(t)
 	testscript.Run(t, testscript.Params{
 		Dir:                 ".",
 		RequireExplicitExec: true,
@@ -55,6 +58,11 @@
 			env.Setenv("AGATEVALVE_STORE", store.String())
 			env.Setenv("AGATEVALVE_WHO", "ana")
 			env.Setenv("EXAMPLES", examples)
+			env.Setenv("PROGRAMS", programs)
+			env.Setenv("PATH", env.Getenv("PATH")+string(os.PathListSeparator)+programs)
+			if err := copyExamples(env, examples); err != nil {
+				return err
+			}
 			return writeSettings(env, store)
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
@@ -69,6 +77,20 @@
 	})
 }
 
+// buildPrograms builds both programs as the pages say, and returns where. The
+// scripts run agatevalve from the test's own binary, which may look for races.
+func buildPrograms(t *testing.T) string {
+	t.Helper()
+	directory := t.TempDir() + string(filepath.Separator)
+	arguments := strings.Fields(strings.Replace(buildCommand, "bin/", directory, 1))
+	build := exec.CommandContext(t.Context(), arguments[0], arguments[1:]...)
+	build.Dir = ".."
+	if output, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%s: %v\n%s", buildCommand, err, output)
+	}
+	return directory
+}
+
 // writeSettings writes settings files with free addresses, which stand in
 // variables too.
 func writeSettings(env *testscript.Env, store netip.AddrPort) error {
