--- a/follower/race_test.go
+++ b/follower/race_test.go
@@ -209,7 +209,14 @@
 }
 
 // settle ends all faults and expects the promise to hold.
-func (w *world) settle(t *rapid.T) {
+func (w *world) settle(t *rapid.T) { w.expectInForce(t) }
+
+// judge is told of a broken promise.
+type judge interface {
+	Fatalf(format string, args ...any)
+}
+
+func (w *world) expectInForce(t judge) {
 	w.store.ClearFaults()
 	w.operators.Wait()
 	time.Sleep(inForceWithin)
@@ -229,7 +236,9 @@
 }
 
 // check holds after every step.
-func (w *world) check(t *rapid.T) {
+func (w *world) check(t *rapid.T) { w.expectNoReturn(t) }
+
+func (w *world) expectNoReturn(t judge) {
 	synctest.Wait()
 	for i, m := range w.members {
 		table := m.Current()
