dispatcher: Bound queues by time, and let a greedy team yield

Cause: admission let in whatever could still meet its own deadline, so a queue of 10 s stood when an overload ended; a team at 10 times its share filled every slot and the queues at the agents, so the others waited behind it; tasks of a 1,300-task job counted as work that had waited and queued at minions. Ruled out: a longer look ahead (it refuses jobs that fit); strict shares (the overload of equal teams would lose capacity). Change: new work is refused while the next job of its team waits longer than one mean service time; a team whose use in the last seconds exceeds 1.25 times its part may fill 75% of the pool, so that others find a slot; jobs above 32 tasks don't queue at minions.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -182,16 +182,29 @@
 	return b.candidates[i].Minion.ID, true
 }
 
-// Capacity returns the slots of a pool and the part of them held by others.
-func (b *Balancer[P]) Capacity(now time.Time, pool string) (slots, others int) {
+// Capacity is the state of a pool.
+type Capacity struct {
+	// Slots sums the slots of the minions that take work.
+	Slots int
+	// Others estimates the slots that other entries' tasks hold.
+	Others float64
+	// Busy estimates the tasks at the minions, waiting ones included.
+	Busy float64
+}
+
+// Capacity returns the state of a pool.
+func (b *Balancer[P]) Capacity(now time.Time, pool string) Capacity {
+	var total Capacity
 	for _, m := range b.pools[pool] {
 		if m.Leaving || !now.Before(m.Expires) || m.health.ejected(now) {
 			continue
 		}
-		slots += m.Slots
-		others += min(m.Others, m.Slots)
+		busy := m.busyAt(now)
+		total.Slots += m.Slots
+		total.Busy += busy
+		total.Others += min(busy-float64(m.Own), float64(m.Slots))
 	}
-	return slots, others
+	return total
 }
 
 func (b *Balancer[P]) collect(now time.Time, pool string, slotCap int, allow func(task.Process) bool, suspects bool) {
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -24,7 +24,7 @@
 	Accepted(id task.Process)
 	Ended(now time.Time, id task.Process, o balancer.Outcome)
 	Choose(now time.Time, pool string, slotCap int, work balancer.Work, allow func(task.Process) bool) (task.Process, bool)
-	Capacity(now time.Time, pool string) (slots, others int)
+	Capacity(now time.Time, pool string) balancer.Capacity
 }
 
 // Options configure a Core.
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -33,6 +33,8 @@
 	queued bool
 	// began is when the job was admitted.
 	began time.Time
+	// started is true once a task has been sent.
+	started bool
 	// rank orders the job within its team.
 	rank time.Time
 	// bytes sums the responses so far.
@@ -79,6 +81,9 @@
 	// waiting is true while the unit is in line; entries of job.pending whose
 	// unit isn't waiting are stale.
 	waiting bool
+	// ended is the attempt with the final report of a claimed task, which is
+	// acknowledged when the job ends.
+	ended *send
 	// tried lists the agents that ran or may have run it; it is not sent there again.
 	tried    []task.Process
 	response task.Response
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -12,6 +12,12 @@
 	// pumpPause is when a queue that had no free minion is looked at again,
 	// unless an answer comes first.
 	pumpPause = 10 * time.Millisecond
+	// excessAllowed is the use over the fair part from which a team yields.
+	excessAllowed = 1.25
+	// smallJob is the largest job whose tasks may queue at minions.
+	smallJob = 32
+	// borrowable is the part of a pool that a team that yields may fill.
+	borrowable = 0.75
 	// doomedShare of the low service time is what a task needs at least.
 	doomedShare = 0.5
 )
@@ -65,7 +71,7 @@
 				"a task can't be answered before the deadline", "send it again with a later deadline", time.Time{}))
 			continue
 		}
-		if c.capped(p, j) || !c.sendNext(p, j) {
+		if c.capped(p, j) || c.yields(p, j) || !c.sendNext(p, j) {
 			if blocked == nil {
 				blocked = make(map[task.Team]bool)
 			}
@@ -90,6 +96,16 @@
 	return limit > 0 && p.running[j.submission.Team] >= limit
 }
 
+// yields reports whether the team has used so much more than its part that it
+// must leave the last free slots to the others, who then needn't wait.
+func (c *Core) yields(p *pool, j *job) bool {
+	if p.queue.Excess(c.now, j.submission.Team) < excessAllowed {
+		return false
+	}
+	capacity := c.chooser.Capacity(c.now, p.name)
+	return capacity.Busy+1 > borrowable*float64(capacity.Slots)
+}
+
 // doomed reports whether even a fast minion would answer too late.
 func (c *Core) doomed(j *job) bool {
 	low := c.times(j.submission.Plan.Route.Name).low
@@ -118,14 +134,23 @@
 		return false
 	}
 	c.unwait(u)
+	if !j.started {
+		j.started = true
+		p.delays[j.submission.Team] = c.now.Sub(j.began)
+	}
 	c.sendTo(u, id, false)
-	p.queue.Charge(j.submission.Team, work.Mean)
+	p.queue.Charge(c.now, j.submission.Team, work.Mean)
 	return true
 }
 
 func (c *Core) workOf(j *job) balancer.Work {
 	times := c.times(j.submission.Plan.Route.Name)
-	return balancer.Work{Mean: times.mean, Typical: times.typical(), Waited: c.now.Sub(j.began)}
+	work := balancer.Work{Mean: times.mean, Typical: times.typical()}
+	if len(j.units) <= smallJob {
+		// The wait of a large job is its own doing, and says nothing of minions.
+		work.Waited = c.now.Sub(j.began)
+	}
+	return work
 }
 
 // allows reports whether the unit may be sent to an agent.
--- a/dispatcher/submitting.go
+++ b/dispatcher/submitting.go
@@ -17,6 +17,13 @@
 // was sent is given up, so that the store can confirm it.
 const closeMargin = 250 * time.Millisecond
 
+const (
+	// delayMeans times the mean service time is the delay at which new work is refused.
+	delayMeans = 1
+	// leastDelay is the least such delay.
+	leastDelay = 100 * time.Millisecond
+)
+
 // pool is the queue of one pool at this entry.
 type pool struct {
 	name  string
@@ -25,6 +32,8 @@
 	waiting int
 	// running counts the open sends of each team.
 	running map[task.Team]int
+	// delays holds how long the last job of each team waited for its first start.
+	delays map[task.Team]time.Duration
 	// dirty is true while the pool stands in line for a pump.
 	dirty bool
 	// pumpAt is when a pump is already due; zero when none is.
@@ -171,6 +180,9 @@
 	if p.waiting+len(s.Tasks) > limit {
 		return refuse(outcome, http.StatusTooManyRequests, "the queue of the pool is full", "send it again later", c.now.Add(wait)), false
 	}
+	if c.delay(p, s.Team) > c.longestDelay(s) {
+		return refuse(outcome, http.StatusServiceUnavailable, "the pool has more work than it can serve", "send it again later", c.now.Add(time.Second)), false
+	}
 	if c.now.Add(wait).After(s.Deadline) {
 		return refuse(outcome, http.StatusServiceUnavailable, "the pool can't serve it before its deadline", "send it again later, or with a later deadline", c.now.Add(wait)), false
 	}
@@ -181,12 +193,16 @@
 // sent, from the tasks in line and the slots that other entries leave.
 func (c *Core) expectedWait(p *pool, s Submission) time.Duration {
 	times := c.times(s.Plan.Route.Name)
-	slots, others := c.chooser.Capacity(c.now, p.name)
+	capacity := c.chooser.Capacity(c.now, p.name)
 	ahead := p.waiting + len(s.Tasks)
-	if slots == 0 || !times.learned() {
+	if len(s.Tasks) <= smallJob {
+		// Small jobs go before the tasks of large ones.
+		return c.delay(p, s.Team)
+	}
+	if capacity.Slots == 0 || !times.learned() {
 		return 0
 	}
-	share := max(slots-others, 1)
+	share := max(capacity.Slots-int(capacity.Others), 1)
 	running := min(p.sent(), share)
 	free := share - running
 	if ahead <= free {
@@ -196,6 +212,27 @@
 	return time.Duration(rounds * float64(times.mean))
 }
 
+// delay returns how long the next job of a team has waited for its first
+// start, or how long the last one did if the next has started.
+func (c *Core) delay(p *pool, team task.Team) time.Duration {
+	j, ok := p.queue.First(team)
+	if !ok || j.phase == phaseDone {
+		return 0
+	}
+	if j.started {
+		return p.delays[team]
+	}
+	return c.now.Sub(j.began)
+}
+
+// longestDelay bounds the queue in time rather than in length, so that no
+// standing queue outlives an overload. The rule is that of CoDel (Nichols and
+// Jacobson, 2012) with refusal at the door in place of drops from the queue.
+func (c *Core) longestDelay(s Submission) time.Duration {
+	mean := c.times(s.Plan.Route.Name).mean
+	return max(delayMeans*mean, leastDelay)
+}
+
 func (p *pool) sent() int {
 	sum := 0
 	for _, n := range p.running {
@@ -282,7 +319,7 @@
 	j.began = c.now
 	p := c.poolOf(j)
 	mean := c.times(j.submission.Plan.Route.Name).mean
-	slots, _ := c.chooser.Capacity(c.now, p.name)
+	slots := c.chooser.Capacity(c.now, p.name).Slots
 	rounds := 1 + len(j.units)/max(slots, 1)
 	j.rank = c.now.Add(time.Duration(rounds) * mean)
 }
@@ -327,7 +364,7 @@
 func (c *Core) pool(name string) *pool {
 	p := c.pools[name]
 	if p == nil {
-		p = &pool{name: name, queue: queuer.NewFair[*job](), running: make(map[task.Team]int)}
+		p = &pool{name: name, queue: queuer.NewFair[*job](), running: make(map[task.Team]int), delays: make(map[task.Team]time.Duration)}
 		c.pools[name] = p
 	}
 	return p
