commands: Let explain read like the plan of a query

Explain printed the rows of route and pool as JSON, which a database administrator had to pick apart. It now prints a line for the route, the pool and the minions, each below the one that it serves, with what counts for the request, and says so when no minion of the pool is known.

--- a/commands/explain.go
+++ b/commands/explain.go
@@ -71,6 +71,9 @@
 	})
 }
 
+// request returns the request as people write it.
+func (e *ExplainCommand) request() string { return e.Method + " " + e.Host + e.Path }
+
 // explain prints the explanation; views is nil when the entries were not asked.
 func (e *ExplainCommand) explain(c *console, configuration historian.Configuration, views *[]entryView) error {
 	table, err := configuration.Compile()
@@ -86,11 +89,11 @@
 		wire.Asked = true
 		wire.addMinions(explanation, *views)
 	}
-	if err := c.printExplanation(wire, explanation); err != nil {
+	if err := c.printExplanation(e.request(), wire, explanation); err != nil {
 		return err
 	}
 	if !explanation.Found {
-		return fault.New(fault.NotFound, "add a route, or change one of those weighed", "no route matches %s %s%s", e.Method, e.Host, e.Path)
+		return fault.New(fault.NotFound, "add a route, or change one of those weighed", "no route matches %s", e.request())
 	}
 	return nil
 }
@@ -141,47 +144,3 @@
 	}
 	return m
 }
-
-func (c *console) printExplanation(wire wireExplanation, e router.Explanation) error {
-	if c.json() {
-		return c.encode(wire)
-	}
-	if err := c.print("revision %d\n", wire.Revision); err != nil {
-		return err
-	}
-	if e.Found {
-		if err := c.print("route %s\npool %s\n", wire.Route, wire.Pool); err != nil {
-			return err
-		}
-	}
-	rows := [][]string{{"WEIGHED", "VERDICT", "WHY"}}
-	for _, w := range wire.Weighed {
-		rows = append(rows, []string{w.Route, w.Verdict, w.Why})
-	}
-	if err := c.table(rows); err != nil {
-		return err
-	}
-	return c.printMinions(wire)
-}
-
-func (c *console) printMinions(wire wireExplanation) error {
-	if !wire.Asked {
-		return nil
-	}
-	for _, s := range wire.Silent {
-		c.note("warning: entry %s did not answer: %s", s.Entry, s.Error)
-	}
-	if !wire.Found {
-		return nil
-	}
-	if len(wire.Minions) == 0 {
-		return c.print("no minion of the pool is known to an entry\n")
-	}
-	rows := [][]string{{"MINION", "WORKER", "ZONE", "RUNNING/SLOTS", "MEAN", "WHY"}}
-	for _, m := range wire.Minions {
-		rows = append(rows, []string{
-			m.Name, m.Worker, m.Zone, fmt.Sprintf("%d/%d", m.Running, m.Slots), describeMean(m.MeanSeconds), m.Why,
-		})
-	}
-	return c.table(rows)
-}
--- /dev/null
+++ b/commands/plan.go
@@ -0,0 +1,99 @@
+package commands
+
+import (
+	"fmt"
+
+	"agatevalve/router"
+)
+
+// printExplanation prints an explanation like the plan of a query: each step
+// below the one that it serves, and then what was weighed.
+func (c *console) printExplanation(request string, wire wireExplanation, e router.Explanation) error {
+	if c.json() {
+		return c.encode(wire)
+	}
+	if err := c.print("plan for %s by revision %d\n", request, wire.Revision); err != nil {
+		return err
+	}
+	if err := c.printPlan(wire, e); err != nil {
+		return err
+	}
+	rows := [][]string{{"WEIGHED", "VERDICT", "WHY"}}
+	for _, w := range wire.Weighed {
+		rows = append(rows, []string{w.Route, w.Verdict, w.Why})
+	}
+	if err := c.table(rows); err != nil {
+		return err
+	}
+	return c.printMinions(wire)
+}
+
+func (c *console) printPlan(wire wireExplanation, e router.Explanation) error {
+	if !e.Found {
+		return c.print("-> no route: the request is refused with not-run\n\n")
+	}
+	steps := []string{describeRoute(e.Plan.Route), "   " + describePool(e.Plan.Pool)}
+	if wire.Asked {
+		steps = append(steps, "      "+describeMinions(wire.Minions))
+	}
+	for _, step := range steps {
+		if err := c.print("%s\n", step); err != nil {
+			return err
+		}
+	}
+	return c.print("\n")
+}
+
+func describeRoute(r router.Route) string {
+	starts := "each task starts at most once"
+	if r.Idempotent {
+		starts = "a task may start again after a failure"
+	}
+	within := "the entry's default"
+	if r.AnswerWithin > 0 {
+		within = r.AnswerWithin.String()
+	}
+	return fmt.Sprintf("-> route %s (host %s, path prefix %s, method %s): %s; answer within %s; waste weight %d",
+		r.Name, orAny(r.Host), r.PathPrefix, orAny(r.Method), starts, within, r.WasteWeight)
+}
+
+func describePool(p router.Pool) string {
+	return fmt.Sprintf("-> pool %s: slots per minion %s; queue limit %s; quotas %s",
+		p.Name, orWord(p.SlotsPerMinion, "declared"), orWord(p.QueueLimit, "default"), describeQuotas(p.Quotas))
+}
+
+func describeMinions(minions []wireMinion) string {
+	eligible, free := 0, int32(0)
+	for _, m := range minions {
+		if m.Eligible {
+			eligible++
+			free += max(m.Slots-m.Running, 0)
+		}
+	}
+	return fmt.Sprintf("-> minions: %d of %d may get a task; %d slots free", eligible, len(minions), free)
+}
+
+func (c *console) printMinions(wire wireExplanation) error {
+	if !wire.Asked {
+		return nil
+	}
+	for _, s := range wire.Silent {
+		c.note("warning: entry %s did not answer: %s", s.Entry, s.Error)
+	}
+	if !wire.Found {
+		return nil
+	}
+	if len(wire.Minions) == 0 {
+		return c.print("\nno entry knows a minion of the pool: look at the agents, and at their setting pools\n")
+	}
+	rows := [][]string{{"MINION", "WORKER", "ZONE", "RUNNING/SLOTS", "MEAN", "WHY"}}
+	for _, m := range wire.Minions {
+		rows = append(rows, []string{
+			m.Name, m.Worker, m.Zone, fmt.Sprintf("%d/%d", m.Running, m.Slots), describeMean(m.MeanSeconds), m.Why,
+		})
+	}
+	if err := c.print("\n"); err != nil {
+		return err
+	}
+	return c.table(rows)
+}
