estimator, docs: Add requests to the capacity page, and write negative figures

The page had no figure of the callers' side, and a negative figure of thousands got a comma behind its sign. Both mended; a test holds the form of figures.

--- a/surveyor/estimator/estimator.go
+++ b/surveyor/estimator/estimator.go
@@ -160,6 +160,12 @@
 	t := e.target
 	starts := t.startsPerEntry()
 	rows := []Row{
+		e.row("callers' single requests, if all starts are such", rate, "request-bytes x starts of the entry", func(Design) float64 {
+			return e.each("request-bytes") * starts
+		}),
+		e.row("the whole way of single requests: callers, entry, agents, minions", core, "request-time x starts of the entry", func(Design) float64 {
+			return percent * micro * e.each("request-time") * starts
+		}),
 		e.row("starts, results and acknowledgements", rate, "(start-bytes of a burst of 1) x starts of the entry", func(Design) float64 {
 			return e.line("start-bytes").At(1) * starts
 		}),
--- a/surveyor/estimator/estimator_test.go
+++ b/surveyor/estimator/estimator_test.go
@@ -110,3 +110,13 @@
 	is.True(find("entry-control", "**control messages**").Ships > 0)
 	is.True(!find("entry-control", "**control messages**").Breaks())
 }
+
+func TestFiguresHaveThreeDigits(t *testing.T) {
+	is := is.New(t)
+	for value, want := range map[float64]string{
+		137_312: "137,000", -137_312: "-137,000", 1234: "1,230", -12.3456: "-12.3", 0.0012345: "0.00123", 0: "0", 5: "5",
+	} {
+		table := estimator.Table{Rows: []estimator.Row{{Ships: value}}}
+		is.True(strings.Contains(table.Markdown(), "|  |  | "+want+" |"))
+	}
+}
--- a/surveyor/estimator/table.go
+++ b/surveyor/estimator/table.go
@@ -83,7 +83,11 @@
 		return text
 	}
 	unit := math.Pow(10, float64(-digits))
-	return commas(fmt.Sprintf("%.0f", math.Round(value/unit)*unit))
+	text := commas(fmt.Sprintf("%.0f", math.Round(math.Abs(value)/unit)*unit))
+	if value < 0 {
+		return "-" + text
+	}
+	return text
 }
 
 func commas(digits string) string {
