dispatcher, runner: Let an agent stop once its results have arrived

Cause: entries acknowledged no result of a claimed job, so that a takeover can gather it, and a leaving agent waited for every unacknowledged result until the deadline. Broken tasks, cancelled ones and doubled results were never acknowledged either. A planned stop took as long as the deadline and ended with an error when stop-within came first.

Weighed: counting a result as delivered once it went out on an open link that answered later. Frames from the entry are too rare for that, and the owner may die before it has answered its callers. Chosen: the entry acknowledges a claimed job's results when the job ends and its callers have been answered, and any report that nobody waits for. The agent keeps such a result for a takeover until it expires, or until its room is needed (the oldest first; before, it refused new starts as full), but a planned stop and a reopened link pass over it. The wire is the same.

Limit: a planned stop of the agent together with the death of the owner after it has answered leaves a resubmission with may-have-run.

--- a/dispatcher/answers.go
+++ b/dispatcher/answers.go
@@ -84,7 +84,8 @@
 	if j.phase == phaseDone {
 		return
 	}
-	settled := j.phase == phaseRunning || j.phase == phaseClosing && answer.Outcome == task.NotRun
+	owned := j.phase == phaseRunning
+	settled := owned || j.phase == phaseClosing && answer.Outcome == task.NotRun
 	c.count(answer.Outcome)
 	c.stopUnits(j)
 	j.phase = phaseDone
@@ -94,6 +95,9 @@
 		c.emit(Reply{Ticket: w.ticket, Known: true, Answer: answer})
 	}
 	j.waiters = nil
+	if owned {
+		c.acknowledgeAll(j)
+	}
 	c.keep(j, settled || answer.Outcome == task.Complete)
 }
 
--- a/dispatcher/commands.go
+++ b/dispatcher/commands.go
@@ -71,7 +71,8 @@
 	Sent  Sent
 }
 
-// Acknowledge tells an agent that it may forget a result.
+// Acknowledge tells an agent that a result has arrived: that of a claimed task
+// once the job's callers have their answer, all others at once.
 type Acknowledge struct {
 	Agent Peer
 	Sent  Sent
--- a/dispatcher/reports.go
+++ b/dispatcher/reports.go
@@ -66,13 +66,28 @@
 	u, s := c.lookup(agent, r.Task, r.Attempt)
 	if s == nil {
 		c.counters.Strays++
+		c.dismiss(agent, r)
 		return
 	}
 	c.report(u, s, r)
 }
 
+// dismiss acknowledges a report that nobody waits for here, so that the agent
+// doesn't keep it.
+func (c *Core) dismiss(agent task.Process, r task.Report) {
+	pr, j := c.peers[agent], c.jobs[r.Task.Job]
+	if pr == nil || j != nil && j.phase != phaseDone {
+		return
+	}
+	c.emit(Acknowledge{Agent: pr.Peer, Sent: Sent{Task: r.Task, Attempt: r.Attempt}})
+}
+
 // report takes in an agent's word on an open attempt.
 func (c *Core) report(u *unit, s *send, r task.Report) {
+	switch r.State {
+	case task.Finished, task.Broken, task.Forgotten:
+		c.received(u, s)
+	}
 	switch r.State {
 	case task.Unstarted:
 		c.counters.Refusals++
@@ -103,9 +118,6 @@
 		Accepted: s.accepted, Answered: true, Failed: bad,
 		Elapsed: elapsed, Mean: c.meanOf(u),
 	}
-	if !j.claimed() {
-		c.acknowledge(u, s)
-	}
 	if bad && (j.submission.Plan.Route.Idempotent || !j.single()) {
 		c.failed(u, s, outcome, "a minion answered with status "+http.StatusText(response.Status))
 		return
@@ -178,6 +190,25 @@
 	c.finish(u.job, refuse(outcome, http.StatusBadGateway, reason, remedy, time.Time{}))
 }
 
+// received acknowledges a final report. That of a claimed task waits for the
+// end of the job, since another entry may still take the job over.
+func (c *Core) received(u *unit, s *send) {
+	if u.job.claimed() {
+		u.ended = s
+		return
+	}
+	c.acknowledge(u, s)
+}
+
+// acknowledgeAll acknowledges the reports of a claimed job that has ended.
+func (c *Core) acknowledgeAll(j *job) {
+	for i := range j.units {
+		if u := &j.units[i]; u.ended != nil {
+			c.acknowledge(u, u.ended)
+		}
+	}
+}
+
 func (c *Core) acknowledge(u *unit, s *send) {
 	if pr := c.peers[s.agent]; pr != nil {
 		c.emit(Acknowledge{Agent: pr.Peer, Sent: sentOf(u, s)})
--- a/runner/core.go
+++ b/runner/core.go
@@ -9,6 +9,7 @@
 package runner
 
 import (
+	"container/list"
 	"time"
 
 	"agatevalve/common/task"
@@ -66,8 +67,13 @@
 	queue []*record
 	// running holds records of phase running; len(running) <= options.Slots.
 	running []*record
-	// unacked holds records of phase ended whose report nobody acknowledged.
+	// unacked holds records of phase ended whose report is kept: nobody
+	// acknowledged it, or the job is claimed.
 	unacked map[task.ID]*record
+	// delivered lists the records in unacked that were acknowledged, the oldest
+	// first. They stay for an entry that takes the job over, until they expire
+	// or their room is needed.
+	delivered *list.List
 	// resultBytes is the size of the responses in unacked.
 	resultBytes int
 	// expiries holds one item for each ended record.
@@ -86,6 +92,7 @@
 		options:       options,
 		jobs:          make(map[task.JobID]*job),
 		unacked:       make(map[task.ID]*record),
+		delivered:     list.New(),
 		expiries:      newTimeline[*record](),
 		fenceExpiries: newTimeline[task.JobID](),
 		refusals:      newRefusals(options.Remember),
@@ -134,8 +141,9 @@
 }
 
 // Quiet reports whether nothing runs or waits, neither a task nor a result.
+// Results of claimed tasks that are kept for a takeover only don't wait.
 func (c *Core) Quiet() bool {
-	return len(c.running) == 0 && len(c.queue) == 0 && len(c.unacked) == 0
+	return len(c.running) == 0 && len(c.queue) == 0 && len(c.unacked) == c.delivered.Len()
 }
 
 func (c *Core) handle(ev Event) {
--- a/runner/core_test.go
+++ b/runner/core_test.go
@@ -240,3 +240,25 @@
 	c.Step(epoch, arrived(0))
 	is.New(t).Equal(refusals(c.Step(c.NextWake(), unreached)), []task.Refusal{task.Late})
 }
+
+// TestClaimedResultStaysForATakeoverAndDelaysNoStop acknowledges the result of a
+// claimed task.
+func TestClaimedResultStaysForATakeoverAndDelaysNoStop(t *testing.T) {
+	is := is.New(t)
+	c := newCore()
+	c.Step(epoch, runner.LinkOpened{Entry: first})
+	start := startOf(0)
+	start.Generation = 1
+	c.Step(epoch, runner.Arrived{From: first, Start: start})
+	c.Step(epoch, answered(0, 5))
+	is.True(!c.Quiet()) // The owner may not have it.
+	c.Step(epoch, runner.LinkClosed{Entry: first})
+	is.Equal(len(pick[runner.Send](c.Step(epoch, runner.LinkOpened{Entry: first}))), 1)
+	c.Step(epoch, runner.Acknowledged{Attempt: 1})
+	is.True(c.Quiet())
+	c.Step(epoch, runner.LinkClosed{Entry: first})
+	is.Equal(len(pick[runner.Send](c.Step(epoch, runner.LinkOpened{Entry: first}))), 0)
+	fence := dispatcher.Fence{Generation: 2, Deadline: start.Deadline}
+	reports := pick[runner.AnswerFence](c.Step(epoch, runner.Fenced{Fence: fence}))[0].Reports
+	is.Equal(reports[0].State, task.Finished)
+}
--- a/runner/events.go
+++ b/runner/events.go
@@ -30,7 +30,9 @@
 	Attempt task.Attempt
 }
 
-// Acknowledged means that the result of an attempt may be forgotten.
+// Acknowledged means that the entry has the result of an attempt. A claimed
+// task's is kept until it expires or its room is needed, all others are
+// forgotten at once.
 type Acknowledged struct {
 	Task    task.ID
 	Attempt task.Attempt
--- a/runner/record.go
+++ b/runner/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/list"
 	"maps"
 	"slices"
 	"time"
@@ -59,6 +60,9 @@
 	response task.Response
 	// cost is what the response counts in resultBytes.
 	cost int
+	// delivered is the place in Core.delivered once the report of a claimed
+	// task was acknowledged, or nil.
+	delivered *list.Element
 }
 
 // unstarted returns the report of a refused start.
@@ -156,6 +160,9 @@
 		return
 	}
 	delete(c.unacked, r.id)
+	if r.work.delivered != nil {
+		c.delivered.Remove(r.work.delivered)
+	}
 	c.resultBytes -= r.work.cost
 	r.work = nil
 	if r.state == task.Finished {
@@ -163,12 +170,19 @@
 	}
 }
 
-// unackedOf returns the unacknowledged results that an entry asked for, by job
-// and index.
+// makeRoom releases the oldest delivered results until another response fits.
+func (c *Core) makeRoom() {
+	for c.delivered.Len() > 0 && !c.fitsAnother() {
+		c.release(c.delivered.Front().Value.(*record))
+	}
+}
+
+// unackedOf returns the undelivered results that an entry asked for, by job and
+// index.
 func (c *Core) unackedOf(entry task.Process) []*record {
 	var records []*record
 	for _, r := range c.unacked {
-		if slices.Contains(r.work.askers, entry) {
+		if r.work.delivered == nil && slices.Contains(r.work.askers, entry) {
 			records = append(records, r)
 		}
 	}
--- a/runner/settles.go
+++ b/runner/settles.go
@@ -111,7 +111,14 @@
 
 func (c *Core) acknowledge(e Acknowledged) {
 	r := c.find(e.Task)
-	if r != nil && r.phase == ended && r.attempt == e.Attempt {
+	if r == nil || r.phase != ended || r.attempt != e.Attempt || r.work == nil {
+		return
+	}
+	if r.work.start.Generation == 0 {
 		c.release(r)
+		return
+	}
+	if r.work.delivered == nil {
+		r.work.delivered = c.delivered.PushBack(r)
 	}
 }
--- a/runner/starts.go
+++ b/runner/starts.go
@@ -16,6 +16,7 @@
 		c.emit(Send{To: e.From, Report: forgotten(e.Start.Task, e.Start.Attempt)})
 		return
 	}
+	c.makeRoom()
 	if refusal := c.refusalOf(e.Start); refusal != 0 {
 		c.refuse(e, refusal)
 		return
@@ -96,12 +97,17 @@
 // isFull reports whether the start, or the largest response to it, might not
 // be remembered.
 func (c *Core) isFull(s task.Start) bool {
-	open := len(c.running) + len(c.queue) + 1
-	return c.tasks >= c.options.Remember ||
-		c.resultBytes+open*c.options.ResponseBytes > c.options.ResultBytes ||
+	return c.tasks >= c.options.Remember || !c.fitsAnother() ||
 		!s.Deadline.After(c.refusals.horizon)
 }
 
+// fitsAnother reports whether the largest responses to all accepted tasks and
+// to one more can be kept.
+func (c *Core) fitsAnother() bool {
+	open := len(c.running) + len(c.queue) + 1
+	return c.resultBytes+open*c.options.ResponseBytes <= c.options.ResultBytes
+}
+
 // begin starts queued tasks while there are free slots.
 func (c *Core) begin() {
 	for len(c.queue) > 0 && len(c.running) < c.options.Slots {
