ring: Grow with what it holds

Cause: a ring allocated its whole bound at once, and each link has one of 4,096 orders at the entry and one of 4,096 notes at the agent. At the target's 275 links an entry held 200 MB of empty places, with 128 MB as its limit. Ruled out: smaller bounds, which refuse starts in a burst. Change: a ring begins with 8 places and doubles up to its bound; it doesn't shrink.

The new test of an idle ring fails on the old code with 4 MB; the model test passes on both.

--- a/common/ring/ring.go
+++ b/common/ring/ring.go
@@ -8,8 +8,10 @@
 
 // Ring is a bounded first-in first-out queue, safe for concurrent use.
 type Ring[T any] struct {
-	mu    sync.Mutex
+	mu sync.Mutex
+	// items grows by doubling up to size, so that an idle ring holds little.
 	items []T
+	size  int
 	// head and count describe the live part of items; count <= len(items).
 	head, count int
 	closed      bool
@@ -19,10 +21,14 @@
 	space chan struct{}
 }
 
+// firstItems is the room of a ring that has held little so far.
+const firstItems = 8
+
 // New returns a ring that holds at most size items.
 func New[T any](size int) *Ring[T] {
 	return &Ring[T]{
-		items: make([]T, size),
+		items: make([]T, min(size, firstItems)),
+		size:  size,
 		ready: make(chan struct{}, 1),
 		space: make(chan struct{}, 1),
 	}
@@ -32,15 +38,27 @@
 func (r *Ring[T]) Offer(item T) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.closed || r.count == len(r.items) {
+	if r.closed || r.count == r.size {
 		return false
 	}
+	r.grow()
 	r.items[(r.head+r.count)%len(r.items)] = item
 	r.count++
 	signal(r.ready)
 	return true
 }
 
+// grow makes room for one more item.
+func (r *Ring[T]) grow() {
+	if r.count < len(r.items) {
+		return
+	}
+	items := make([]T, min(2*len(r.items), r.size))
+	n := copy(items, r.items[r.head:])
+	copy(items[n:], r.items[:r.head])
+	r.items, r.head = items, 0
+}
+
 // Put adds an item, waiting for space. It reports false when ctx ends first
 // or the ring is closed.
 func (r *Ring[T]) Put(ctx context.Context, item T) bool {
@@ -65,7 +83,7 @@
 
 // TakeAll appends all waiting items to buf without blocking. It reports false
 // when the ring is closed and empty.
-func (r *Ring[T]) TakeAll(buf []T) ([]T, bool) { return r.TakeUpTo(buf, len(r.items)) }
+func (r *Ring[T]) TakeAll(buf []T) ([]T, bool) { return r.TakeUpTo(buf, r.size) }
 
 // TakeUpTo appends at most limit items to buf without blocking. It reports
 // false when the ring is closed and empty.
@@ -118,7 +136,7 @@
 func (r *Ring[T]) passSpace() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.count < len(r.items) {
+	if r.count < r.size {
 		signal(r.space)
 	}
 }
--- /dev/null
+++ b/common/ring/ring_test.go
@@ -0,0 +1,103 @@
+package ring_test
+
+import (
+	"context"
+	"flag"
+	"os"
+	"runtime"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"agatevalve/common/ring"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+// TestRingIsABoundedQueue compares a ring with a slice, while it grows and
+// wraps around.
+func TestRingIsABoundedQueue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.SampledFrom([]int{1, 3, 8, 9, 20, 100}).Draw(t, "size")
+		r := ring.New[int](size)
+		var model []int
+		next := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				if r.Len() != len(model) {
+					t.Fatalf("%d items of %d", r.Len(), len(model))
+				}
+			},
+			"offer": func(t *rapid.T) {
+				for range rapid.IntRange(1, 2*size).Draw(t, "items") {
+					fits := len(model) < size
+					if r.Offer(next) != fits {
+						t.Fatalf("an offer to %d of %d items", len(model), size)
+					}
+					if fits {
+						model = append(model, next)
+					}
+					next++
+				}
+			},
+			"take": func(t *rapid.T) {
+				limit := rapid.IntRange(1, size).Draw(t, "limit")
+				taken, open := r.TakeUpTo(nil, limit)
+				want := model[:min(limit, len(model))]
+				if !open || !slices.Equal(taken, want) {
+					t.Fatalf("took %v of %v", taken, want)
+				}
+				model = model[len(want):]
+			},
+			"take all": func(t *rapid.T) {
+				taken, _ := r.TakeAll(nil)
+				if !slices.Equal(taken, model) {
+					t.Fatalf("took %v of %v", taken, model)
+				}
+				model = nil
+			},
+		})
+	})
+}
+
+func TestPutWaitsForSpace(t *testing.T) {
+	is := is.New(t)
+	const items = 1000
+	r := ring.New[int](10)
+	go func() {
+		for i := range items {
+			r.Put(context.Background(), i)
+		}
+		r.Close()
+	}()
+	var taken []int
+	for open := true; open; {
+		<-r.Ready()
+		taken, open = r.TakeUpTo(taken, 3)
+	}
+	is.Equal(len(taken), items)
+	is.True(slices.IsSorted(taken))
+	is.True(!r.Offer(1)) // It is closed.
+}
+
+// TestIdleRingHoldsLittle bounds what a ring of 4 MB takes before it is used.
+func TestIdleRingHoldsLittle(t *testing.T) {
+	const size, item, most = 4096, 1024, 64 << 10
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	r := ring.New[[item]byte](size)
+	r.Offer([item]byte{})
+	runtime.ReadMemStats(&after)
+	if taken := after.TotalAlloc - before.TotalAlloc; taken > most {
+		t.Fatalf("%d bytes", taken)
+	}
+	runtime.KeepAlive(r)
+}
