commands: Name the command whose help tells what is wrong

A wrong flag pointed at the help of the whole program, which doesn't list the flags of a command. The remedy now names the command. A timeout or a mean service time of 0 is refused instead of ending in an unclear error.

An unused parameter of submit is gone, so that lint is clean.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -70,6 +70,9 @@
 	if err != nil {
 		return c.fail(errUsage(err))
 	}
+	if r.Timeout <= 0 {
+		return c.fail(fault.New(fault.Invalid, "use a duration above 0s", "--timeout %s is out of range", r.Timeout))
+	}
 	if err := chosen.Run(c); err != nil {
 		return c.fail(err)
 	}
--- a/commands/console.go
+++ b/commands/console.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -14,6 +15,8 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/alecthomas/kong"
+
 	"agatevalve/common/fault"
 	"agatevalve/connector"
 	"agatevalve/historian"
@@ -157,6 +160,12 @@
 	return strings.TrimSuffix(err.Error(), "; "+fault.RemedyOf(err))
 }
 
+// errUsage names the command whose help tells what is wrong.
 func errUsage(err error) error {
-	return fault.New(fault.Invalid, "see agatevalve --help", "%s", err)
+	command := "agatevalve"
+	var parse *kong.ParseError
+	if errors.As(err, &parse) && parse.Context != nil && parse.Context.Selected() != nil {
+		command = parse.Context.Selected().FullPath()
+	}
+	return fault.New(fault.Invalid, "see "+command+" --help", "%s", err)
 }
--- a/commands/demo.go
+++ b/commands/demo.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"agatevalve/common/fault"
 	"agatevalve/demonstrator"
 )
 
@@ -31,6 +32,9 @@
 
 // Run runs the demonstration until it is interrupted, or the check.
 func (d *DemoCommand) Run(c *console) error {
+	if d.MeanService <= 0 {
+		return fault.New(fault.Invalid, "use a duration above 0s", "--mean-service %s is out of range", d.MeanService)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if d.Check {
--- a/commands/submit.go
+++ b/commands/submit.go
@@ -57,7 +57,7 @@
 	defer cancel()
 	c.note("submit: Sent %d bytes under key %s", len(body), s.Key)
 	stop := c.progress(s.Deadline)
-	answer, err := s.send(ctx, c, body)
+	answer, err := s.send(ctx, body)
 	stop()
 	if err != nil {
 		return err
@@ -136,7 +136,7 @@
 
 // send repeats a job whose connection broke, until ctx ends. Once a try may have
 // reached an entry, failing to connect later proves nothing.
-func (s *SubmitCommand) send(ctx context.Context, c *console, body []byte) (submitAnswer, error) {
+func (s *SubmitCommand) send(ctx context.Context, body []byte) (submitAnswer, error) {
 	client := &http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
 	var uncertain error
