commands: Explain flags and commands to those who run them

Read as a database administrator would, several texts left a question open: what a base is by default for config apply (the file's, not the one in force), what idempotent and waste weight allow, where the number for 0 comes from, what a drain leaves running and how long it lasts, what the exit codes of submit mean for the job. The texts now say so.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -36,13 +36,13 @@
 	Routes   RoutesCommand   `cmd:"" help:"Show and edit the table of routes."`
 	Pools    PoolsCommand    `cmd:"" help:"Show and edit the table of pools."`
 	Config   ConfigCommand   `cmd:"" help:"Check, compare, apply and revert whole configurations."`
-	Audit    AuditCommand    `cmd:"" help:"Show who changed what, when and why."`
+	Audit    AuditCommand    `cmd:"" help:"Show who changed what, when and why, drains included."`
 	Explain  ExplainCommand  `cmd:"" help:"Tell which route, pool and minions serve a request, and why."`
 	Status   StatusCommand   `cmd:"" help:"Show the store, the entries and the agents beside minions, and the revision in force at each."`
-	Drain    DrainCommand    `cmd:"" help:"Keep new tasks from a minion, or from all minions of a worker."`
+	Drain    DrainCommand    `cmd:"" help:"Keep new tasks from a minion, or from all minions of a worker (machine). What it has accepted runs to its end; the drain lasts until undrain or the agent's restart."`
 	Undrain  UndrainCommand  `cmd:"" help:"Let a drained minion or worker take tasks again."`
 	Settings SettingsCommand `cmd:"" help:"Check settings files."`
-	Measure  MeasureCommand  `cmd:"" help:"Measure how tasks are placed under load and faults."`
+	Measure  MeasureCommand  `cmd:"" help:"Measure how tasks are placed under load and faults; for developers."`
 	Version  VersionCommand  `cmd:"" help:"Show the version."`
 }
 
--- a/commands/config.go
+++ b/commands/config.go
@@ -15,11 +15,11 @@
 // ConfigCommand groups the commands for whole configurations.
 type ConfigCommand struct {
 	Check   ConfigCheckCommand   `cmd:"" help:"Check a configuration file without the store."`
-	Diff    ConfigDiffCommand    `cmd:"" help:"Show the rows that differ between two configurations."`
-	Apply   ConfigApplyCommand   `cmd:"" help:"Replace the configuration by that of a file, and wait until it is in force at every live entry."`
+	Diff    ConfigDiffCommand    `cmd:"" help:"Show the rows that differ between two configurations: - before, + after."`
+	Apply   ConfigApplyCommand   `cmd:"" help:"Replace both tables by the content of a file, and wait until it is in force at every live entry."`
 	History ConfigHistoryCommand `cmd:"" help:"List the newest revisions."`
-	Show    ConfigShowCommand    `cmd:"" help:"Show a whole configuration in the form of a file."`
-	Revert  ConfigRevertCommand  `cmd:"" help:"Publish the content of an older revision as a new one."`
+	Show    ConfigShowCommand    `cmd:"" help:"Show both tables in the form of a file that config apply reads."`
+	Revert  ConfigRevertCommand  `cmd:"" help:"Publish the content of an older revision as a new one; nothing is lost from the history."`
 }
 
 // readConfiguration reads a configuration file.
@@ -72,8 +72,8 @@
 
 // ConfigDiffCommand compares two configurations.
 type ConfigDiffCommand struct {
-	From string `arg:"" help:"A revision number, head, or a file."`
-	To   string `arg:"" help:"A revision number, head, or a file."`
+	From string `arg:"" help:"A revision number, the word head for the one in force, or a file."`
+	To   string `arg:"" help:"A revision number, the word head for the one in force, or a file."`
 }
 
 // Run shows the changes that lead from one to the other.
--- a/commands/drain.go
+++ b/commands/drain.go
@@ -13,8 +13,8 @@
 type target struct {
 	author
 	entryFlags
-	Agent  string `arg:"" optional:"" help:"Name of the agent beside the minion."`
-	Worker string `help:"Name of a worker, for all its minions."`
+	Agent  string `arg:"" optional:"" help:"Name of the agent beside the minion, as agatevalve status shows it."`
+	Worker string `help:"Name of a worker, for all its minions." placeholder:"NAME"`
 	// Unrecorded lets operators act while the store can't take the audit row.
 	Unrecorded bool `help:"Go on when the audit trail can't be written; keep a note of your own."`
 }
@@ -42,7 +42,7 @@
 
 func (t *target) act(c *console, kind historian.ActionKind) error {
 	if (t.Agent == "") == (t.Worker == "") {
-		return fault.New(fault.Invalid, "name an agent, or a worker with --worker", "one target is needed")
+		return fault.New(fault.Invalid, "name an agent, or a worker with --worker", "one of agent and worker is needed, and not both")
 	}
 	return c.withStore(func(ctx context.Context, s *store) error {
 		views, err := askEntries(ctx, s, t.Entry)
--- a/commands/explain.go
+++ b/commands/explain.go
@@ -15,7 +15,7 @@
 type ExplainCommand struct {
 	Method string  `arg:"" help:"HTTP method of the request."`
 	Path   string  `arg:"" help:"Path of the request, decoded, without query."`
-	Host   string  `help:"Host of the request, without port."`
+	Host   string  `help:"Host of the request, without port." placeholder:"HOST"`
 	At     *uint64 `help:"Explain by an older revision." placeholder:"REVISION"`
 	File   string  `help:"Explain by a configuration file, without the store and minions." placeholder:"FILE"`
 }
--- a/commands/pools.go
+++ b/commands/pools.go
@@ -16,7 +16,7 @@
 type PoolsCommand struct {
 	Show   PoolsShowCommand   `cmd:"" help:"Show all pools, or one."`
 	Set    PoolsSetCommand    `cmd:"" help:"Insert or update a pool. What no flag names stays as it is."`
-	Delete PoolsDeleteCommand `cmd:"" help:"Delete a pool."`
+	Delete PoolsDeleteCommand `cmd:"" help:"Delete a pool that no route leads to."`
 }
 
 // PoolsShowCommand shows pools.
@@ -84,9 +84,9 @@
 type PoolsSetCommand struct {
 	edit
 	Name           string   `arg:"" help:"Name of the pool."`
-	SlotsPerMinion *int     `help:"Most tasks at one minion; 0 trusts what the minion declares." placeholder:"SLOTS"`
-	QueueLimit     *int     `help:"Most tasks that wait at one entry; 0 takes the entry's setting." placeholder:"TASKS"`
-	Quota          []string `help:"Quota of a team, as TEAM=WEIGHT or TEAM=WEIGHT:MAX-RUNNING. All given replace all of the pool." placeholder:"QUOTA"`
+	SlotsPerMinion *int     `help:"Most tasks at one minion; 0 takes the slots in the settings of its agent." placeholder:"SLOTS"`
+	QueueLimit     *int     `help:"Most tasks that wait at one entry; 0 takes its setting queue-tasks." placeholder:"TASKS"`
+	Quota          []string `help:"Quota of a team, as TEAM=WEIGHT or TEAM=WEIGHT:MAX-RUNNING: its share of a full pool, and its most running tasks for each entry. May be repeated; all given replace all of the pool." placeholder:"QUOTA"`
 	NoQuotas       bool     `help:"Remove all quotas of the pool."`
 }
 
--- a/commands/publish.go
+++ b/commands/publish.go
@@ -14,7 +14,7 @@
 // author holds the flags of everything that the audit trail keeps.
 type author struct {
 	Who string `help:"Who makes the change; kept in the audit trail." env:"AGATEVALVE_WHO,USER" placeholder:"NAME"`
-	Why string `help:"Why; kept in the audit trail." placeholder:"TEXT"`
+	Why string `help:"Why; kept in the audit trail and always needed." placeholder:"TEXT"`
 }
 
 func (a author) author() publisher.Author { return publisher.Author{Who: a.Who, Why: a.Why} }
@@ -22,8 +22,8 @@
 // edit holds the flags of commands that publish.
 type edit struct {
 	author
-	Base   *uint64 `help:"The revision that the edit was made from; the one in force if not given." placeholder:"REVISION"`
-	NoWait bool    `help:"Don't wait until every live entry reports the revision."`
+	Base   *uint64 `help:"The revision that the edit was made from, so that no other operator's change is lost. If not given, it is the one in force, or for config apply the one that the file names." placeholder:"REVISION"`
+	NoWait bool    `help:"Don't wait until every live entry reports the revision; agatevalve status shows it."`
 }
 
 // base returns the flag's revision, or that of the head.
--- a/commands/routes.go
+++ b/commands/routes.go
@@ -13,8 +13,8 @@
 // RoutesCommand groups the commands for the table of routes.
 type RoutesCommand struct {
 	Show   RoutesShowCommand   `cmd:"" help:"Show all routes, or one."`
-	Set    RoutesSetCommand    `cmd:"" help:"Insert or update a route. What no flag names stays as it is."`
-	Delete RoutesDeleteCommand `cmd:"" help:"Delete a route."`
+	Set    RoutesSetCommand    `cmd:"" help:"Insert or update a route. What no flag names stays as it is; a new route needs --path-prefix and --pool."`
+	Delete RoutesDeleteCommand `cmd:"" help:"Delete a route. Requests that match no other route are refused with not-run."`
 }
 
 // RoutesShowCommand shows routes.
@@ -101,8 +101,8 @@
 	PathPrefix   *string        `help:"Path prefix in whole segments, such as /quotes." placeholder:"PATH"`
 	Method       *string        `help:"HTTP method that the route matches; empty for any." placeholder:"METHOD"`
 	Pool         *string        `help:"Pool that serves the route." placeholder:"POOL"`
-	Idempotent   *bool          `help:"Whether a task may start again after a failure." negatable:""`
-	WasteWeight  *int           `help:"What a wasted message weighs against response time, from 0 to 100." placeholder:"WEIGHT"`
+	Idempotent   *bool          `help:"Whether a task may run again after a failure: only where running twice does no harm. Without it each task starts at most once." negatable:""`
+	WasteWeight  *int           `help:"What a wasted message weighs against response time: 0 for the fastest answer, 100 to send nothing that may go unused." placeholder:"WEIGHT"`
 	AnswerWithin *time.Duration `help:"Deadline of requests that name none, with its unit; 0s for the entry's." placeholder:"DURATION"`
 }
 
--- a/commands/submit.go
+++ b/commands/submit.go
@@ -33,13 +33,18 @@
 type SubmitCommand struct {
 	File     string         `arg:"" help:"Job file (JSON): {\"tasks\":[{\"method\":\"POST\",\"path\":\"/holds/1\",\"body\":\"text\"}]}; - reads standard input."`
 	Entry    netip.AddrPort `help:"Address of an entry's listener for callers." required:"" placeholder:"IP:PORT"`
-	Path     string         `help:"Path of the job, which the routes match; tasks without a path get it." required:""`
-	Host     string         `help:"Host of the job, which the routes match."`
-	Team     string         `help:"Team that the job counts for."`
+	Path     string         `help:"Path of the job, which the routes match; tasks without a path get it." required:"" placeholder:"PATH"`
+	Host     string         `help:"Host of the job, which the routes match." placeholder:"HOST"`
+	Team     string         `help:"Team that the job counts for." placeholder:"TEAM"`
 	Key      string         `help:"Idempotency key: the same key and file give the same answer and run nothing twice. A new one is made and printed when absent."`
 	Deadline time.Time      `help:"Absolute deadline in RFC 3339, such as 2026-01-02T15:04:05Z; the entry's default when absent."`
 }
 
+// Help tells what the exit codes mean here.
+func (*SubmitCommand) Help() string {
+	return `Exit codes: 0 complete, and the answer is printed; 1 it ran and failed; 2 not run, since the input is wrong; 3 not run, since the key belongs to another job; 4 not run, and a later try may succeed; 5 it may have run: do as the remedy says, mostly submit the same file again with the same key.`
+}
+
 // Run sends the job until an entry has answered. The key makes it safe to send
 // it again after a lost connection.
 func (s *SubmitCommand) Run(c *console) error {
