--- a/testscripts/testscripts_test.go
+++ b/testscripts/testscripts_test.go
@@ -66,14 +66,15 @@
 			return writeSettings(env, store)
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"exits":      exits,
-			"listening":  listening,
-			"fault":      switchFault,
-			"entry":      startEntry,
-			"agent":      startAgent,
-			"fetch":      fetch,
-			"shows":      shows,
-			"documented": documented,
+			"exits":              exits,
+			"listening":          listening,
+			"fault":              switchFault,
+			"entry":              startEntry,
+			"agent":              startAgent,
+			"fetch":              fetch,
+			"shows":              shows,
+			"documented":         documented,
+			"documented-metrics": documentedMetrics,
 		},
 	})
 }
