--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -234,7 +234,9 @@
 		}
 	default:
 		c.Room = float64(slots) - c.Busy
-		c.Queue = b.options.Queue
+		if c.Speed < trialSpeed {
+			c.Queue = b.options.Queue
+		}
 	}
 	return c
 }
--- a/dispatcher/claiming.go
+++ b/dispatcher/claiming.go
@@ -11,8 +11,15 @@
 // attemptsPerOwner separates the attempt numbers of successive owners.
 const attemptsPerOwner = 1 << 12
 
-// newClaim builds the claim of this entry for a job. Only agents known now may
-// receive its tasks, so that a later owner knows whom to fence.
+const (
+	// leastAgents and agentsPerTask bound the agents that a claim names: enough
+	// to choose from, and few enough to store and to fence.
+	leastAgents   = 16
+	agentsPerTask = 2
+)
+
+// newClaim builds the claim of this entry for a job. Only agents that it names
+// may receive its tasks, so that a later owner knows whom to fence.
 func (c *Core) newClaim(j *job, generation task.Generation, deadline time.Time) Claim {
 	claim := Claim{
 		Job:          j.id,
@@ -24,12 +31,27 @@
 		Token:        c.options.Random.Uint64(),
 		Deadline:     deadline,
 	}
-	for _, m := range c.chooser.Pool(j.submission.Plan.Pool.Name) {
-		if pr := c.peers[m.ID]; pr != nil {
-			claim.Agents = append(claim.Agents, pr.Peer)
+	claim.Agents = c.drawAgents(j)
+	return claim
+}
+
+// drawAgents returns neighbours in the pool's order from a random one on.
+func (c *Core) drawAgents(j *job) []Peer {
+	all := c.chooser.Pool(j.submission.Plan.Pool.Name)
+	if len(all) == 0 {
+		return nil
+	}
+	first := c.options.Random.IntN(len(all))
+	limit := max(leastAgents, agentsPerTask*len(j.units))
+	agents := make([]Peer, 0, min(len(all), limit))
+	for i := range all {
+		m := all[(first+i)%len(all)]
+		pr := c.peers[m.ID]
+		if pr != nil && !m.Leaving && len(agents) < limit {
+			agents = append(agents, pr.Peer)
 		}
 	}
-	return claim
+	return agents
 }
 
 // claimWon starts the job, or fences the former owner's agents first.
@@ -79,8 +101,11 @@
 	if !j.claimed() || j.widening != nil || !j.startDeadline().After(c.now) {
 		return
 	}
+	if c.agentsLeft(j) {
+		return
+	}
 	claim := c.newClaim(j, j.claim.Generation+1, j.claim.Deadline)
-	if len(claim.Agents) == 0 || j.anyAllowed(claim.Agents) {
+	if len(claim.Agents) == 0 {
 		return
 	}
 	for _, a := range j.claim.Agents {
@@ -90,9 +115,10 @@
 	c.emit(TakeClaim{Old: j.claim, Claim: claim})
 }
 
-func (j *job) anyAllowed(agents []Peer) bool {
-	for _, a := range agents {
-		if j.allowed[a.Process] {
+// agentsLeft reports whether an agent that the job's claim names takes work.
+func (c *Core) agentsLeft(j *job) bool {
+	for _, m := range c.chooser.Pool(j.submission.Plan.Pool.Name) {
+		if j.allowed[m.ID] && !m.Leaving {
 			return true
 		}
 	}
@@ -245,7 +271,7 @@
 			c.know(a)
 		}
 	}
-	s := &send{agent: agent, attempt: r.Attempt, at: c.now, accepted: true}
+	s := &send{agent: agent, attempt: r.Attempt, at: c.now, accepted: true, unsure: true}
 	c.openSend(u, s)
 	c.report(u, s, r)
 }
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -95,7 +95,8 @@
 	attempt  task.Attempt
 	at       time.Time
 	accepted bool
-	// unsure is true after the link broke, until the agent settles it.
+	// unsure is true when no link is sure to bring its report: after the link
+	// broke, and after a takeover.
 	unsure bool
 	// hedged is true for a second start beside a slow first one.
 	hedged bool
--- a/dispatcher/reports.go
+++ b/dispatcher/reports.go
@@ -94,7 +94,7 @@
 		c.unstarted(u, s, r.Refusal)
 	case task.Running:
 		u.ran = true
-		s.unsure = false
+		s.unsure = true
 		s.accepted = true
 		c.pollLater(s.agent)
 	case task.Finished:
@@ -122,6 +122,9 @@
 		c.failed(u, s, outcome, "a minion answered with status "+http.StatusText(response.Status))
 		return
 	}
+	if len(u.sends) > 1 {
+		c.budget(j).judge(s.hedged)
+	}
 	if !bad {
 		c.times(j.submission.Plan.Route.Name).observe(elapsed)
 		c.earn(j)
@@ -227,11 +230,17 @@
 	c.settle(pr)
 }
 
-// settle asks about all open attempts of an agent.
+// settle asks about the unsure attempts of an agent. Others must not be asked
+// about: a question that overtakes its start withdraws it.
 func (c *Core) settle(pr *peer) {
 	ask := Settle{Agent: pr.Peer}
 	for s, u := range pr.open {
-		ask.Tasks = append(ask.Tasks, sentOf(u, s))
+		if s.unsure {
+			ask.Tasks = append(ask.Tasks, sentOf(u, s))
+		}
+	}
+	if len(ask.Tasks) == 0 {
+		return
 	}
 	sortSent(ask.Tasks)
 	c.emit(ask)
@@ -280,7 +289,5 @@
 		return
 	}
 	pr.polling = false
-	if len(pr.open) > 0 {
-		c.settle(pr)
-	}
+	c.settle(pr)
 }
--- a/dispatcher/retrying.go
+++ b/dispatcher/retrying.go
@@ -16,6 +16,14 @@
 	// hedgeShare is how many hedges each good answer earns when a wasted
 	// message weighs nothing.
 	hedgeShare = 0.02
+	// wonGain is the weight of one hedge's end in the share of those that won,
+	// and firstWon that share at the start.
+	wonGain  = 1.0 / 16
+	firstWon = 0.5
+	// worthWon times that share, at most 1, is the part of the budget earned,
+	// and leastWorth the part that looks for a change.
+	worthWon   = 3.0
+	leastWorth = 0.05
 	// hedgeReserve caps the hedges that can be saved up.
 	hedgeReserve = 10.0
 	// hedgeFactor times the high quantile of the service time makes a start slow.
@@ -28,13 +36,25 @@
 type budget struct {
 	retries float64
 	hedges  float64
+	// won is the moving share of hedges that answered first.
+	won float64
+}
+
+// judge takes in whether the hedge or the first start answered first. Hedges
+// that never win, since the tasks are long by nature, earn hardly any more.
+func (b *budget) judge(hedgeWon bool) {
+	if hedgeWon {
+		b.won += (1 - b.won) * wonGain
+		return
+	}
+	b.won -= b.won * wonGain
 }
 
 func (c *Core) budget(j *job) *budget {
 	name := j.submission.Plan.Pool.Name
 	b := c.budgets[name]
 	if b == nil {
-		b = &budget{retries: retryReserve}
+		b = &budget{retries: retryReserve, won: firstWon}
 		c.budgets[name] = b
 	}
 	return b
@@ -45,7 +65,8 @@
 	b := c.budget(j)
 	weight := j.submission.Plan.Route.WasteWeight
 	b.retries = min(b.retries+retryShare, retryReserve)
-	b.hedges = min(b.hedges+hedgeShare*float64(fullWeight-weight)/fullWeight, hedgeReserve)
+	worth := max(min(b.won*worthWon, 1), leastWorth)
+	b.hedges = min(b.hedges+hedgeShare*worth*float64(fullWeight-weight)/fullWeight, hedgeReserve)
 }
 
 // mayRetry takes a retry from the budget.
