dispatcher: Lend less of a pool, and save up fewer hedges

Change: a team in excess may fill 70% of the pool, not 75; saved hedges shrink with the weight of waste.

--- a/dispatcher/retrying.go
+++ b/dispatcher/retrying.go
@@ -24,7 +24,8 @@
 	// and leastWorth the part that looks for a change.
 	worthWon   = 3.0
 	leastWorth = 0.05
-	// hedgeReserve caps the hedges that can be saved up.
+	// hedgeReserve caps the hedges that can be saved up when a wasted message
+	// weighs nothing.
 	hedgeReserve = 10.0
 	// hedgeFactor times the high quantile of the service time makes a start slow.
 	hedgeFactor = 1.5
@@ -66,7 +67,8 @@
 	weight := j.submission.Plan.Route.WasteWeight
 	b.retries = min(b.retries+retryShare, retryReserve)
 	worth := max(min(b.won*worthWon, 1), leastWorth)
-	b.hedges = min(b.hedges+hedgeShare*worth*float64(fullWeight-weight)/fullWeight, hedgeReserve)
+	speed := float64(fullWeight-weight) / fullWeight
+	b.hedges = min(b.hedges+hedgeShare*worth*speed, hedgeReserve*speed)
 }
 
 // mayRetry takes a retry from the budget.
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -17,7 +17,7 @@
 	// smallJob is the largest job whose tasks may queue at minions.
 	smallJob = 32
 	// borrowable is the part of a pool that a team that yields may fill.
-	borrowable = 0.75
+	borrowable = 0.7
 	// doomedShare of the low service time is what a task needs at least.
 	doomedShare = 0.5
 )
