--- a/commands/status.go
+++ b/commands/status.go
@@ -126,6 +126,9 @@
 
 func (c *console) printStatus(status wireStatus) error {
 	state := fmt.Sprintf("revision %d in force", status.Store.Revision)
+	if status.Store.Revision == 0 {
+		state = "no configuration is published yet"
+	}
 	if status.Store.Error != "" {
 		state = "can't be read: " + status.Store.Error
 	}
