dispatcher: Count a claimed job's wait from its claim

Cause: after a store outage the jobs that had waited for their claims looked like a queue of 10 s, so all new work was refused; one mean service time of delay refused 18 of 8790 at load 0.95, where all can be served; an agent whose minion is down refuses at once and drew load; a start that no agent can read went round until its deadline. Ruled out: 2 mean times of delay (recovery after 1.2 times capacity 2.5 s, bound 2) and 1 (the refusals). Change: the wait counts from the claim; new work is refused at 1.5 mean times; an unreachable minion counts as failed; an unreadable start fails its job.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -133,7 +133,8 @@
 	Answered bool
 	// Failed is true when the response or its absence is the minion's fault.
 	Failed bool
-	// Refused is true when the agent didn't take the task.
+	// Refused is true when the task didn't start. It counts against the minion
+	// only with Failed, when the agent couldn't reach it.
 	Refused bool
 	// Elapsed is the time from send to answer; Mean is what an average minion takes.
 	Elapsed time.Duration
@@ -154,6 +155,9 @@
 	switch {
 	case o.Refused:
 		m.blocked = now.Add(busyPause)
+		if o.Failed {
+			m.health.observe(now, true, b.failuresBeside(m))
+		}
 		return
 	case !o.Answered && !o.Failed:
 		return
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -31,7 +31,8 @@
 	left int
 	// queued is true while the job stands in its pool's queue.
 	queued bool
-	// began is when the job was admitted.
+	// began is when its tasks might first be sent: for a claimed job, when the
+	// claim was won.
 	began time.Time
 	// started is true once a task has been sent.
 	started bool
--- a/dispatcher/reports.go
+++ b/dispatcher/reports.go
@@ -43,9 +43,12 @@
 }
 
 func (c *Core) unstarted(u *unit, s *send, why task.Refusal) {
-	c.closeSend(u, s, balancer.Outcome{Accepted: s.accepted, Refused: true})
+	c.closeSend(u, s, balancer.Outcome{Accepted: s.accepted, Refused: true, Failed: why == task.Unreachable})
 	j := u.job
 	switch {
+	case why == task.Malformed:
+		c.giveUp(u, "an agent can't read the task; it may be of another version")
+		return
 	case why == task.StaleOwner && j.claimed():
 		c.ownershipLost(j)
 		return
--- a/dispatcher/submitting.go
+++ b/dispatcher/submitting.go
@@ -19,7 +19,7 @@
 
 const (
 	// delayMeans times the mean service time is the delay at which new work is refused.
-	delayMeans = 1
+	delayMeans = 1.5
 	// leastDelay is the least such delay.
 	leastDelay = 100 * time.Millisecond
 )
@@ -230,7 +230,7 @@
 // Jacobson, 2012) with refusal at the door in place of drops from the queue.
 func (c *Core) longestDelay(s Submission) time.Duration {
 	mean := c.times(s.Plan.Route.Name).mean
-	return max(delayMeans*mean, leastDelay)
+	return max(time.Duration(delayMeans*float64(mean)), leastDelay)
 }
 
 func (p *pool) sent() int {
@@ -346,6 +346,7 @@
 // start lets the job's tasks be sent.
 func (c *Core) start(j *job) {
 	j.phase = phaseRunning
+	j.began = c.now
 	c.queueJob(j)
 }
 
