testscripts: Submit jobs that are not run, fail, or may have run

The exit codes 1 and 5 of submit, and 4 of a job that no minion took, had no script. The script outcomes runs each: no agent, a minion that answers with 500, and a store that is away.

--- a/testscripts/agent_test.go
+++ b/testscripts/agent_test.go
@@ -17,12 +17,17 @@
 )
 
 // startAgent starts an agent beside a minion that answers with its method and
-// path: agent NAME POOL.
+// path: agent NAME POOL. With the word fails the minion answers with status
+// 500.
 func startAgent(ts *testscript.TestScript, neg bool, args []string) {
-	if neg || len(args) != 2 {
-		ts.Fatalf("usage: agent NAME POOL")
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: agent NAME POOL [fails]")
 	}
+	fails := len(args) > 2 && args[2] == "fails"
 	minion := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if fails {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
 		_, _ = io.WriteString(w, "minion got "+r.Method+" "+r.URL.Path) // A caller that left needs no answer.
 	}))
 	ts.Defer(minion.Close)
