dispatcher: Keep work that waits for a claim out of line

Cause: units of jobs that wait for the store counted against the pool's queue limit and its admission, so a long outage refused keyless work, which needs no store. Ruled out: a second limit; the claimer's own bound holds the claims. Change: a job's tasks enter the line when its claim is won or its agents fenced.

--- a/dispatcher/claiming.go
+++ b/dispatcher/claiming.go
@@ -302,7 +302,7 @@
 			"look at the target for its effects, then use a new key", time.Time{}))
 		return
 	}
-	c.queueJob(j)
+	c.start(j)
 }
 
 // unknown marks the units that no agent knows of and reports whether any is.
@@ -328,13 +328,13 @@
 }
 
 // dropSends forgets the open sends of a job whose agents answer to another
-// owner now, and puts its units back in line.
+// owner now, and takes its units out of line.
 func (c *Core) dropSends(j *job) {
 	for i := range j.units {
 		u := &j.units[i]
 		for len(u.sends) > 0 {
 			c.closeSend(u, u.sends[0], balancer.Outcome{Accepted: u.sends[0].accepted})
 		}
-		c.enqueue(u)
+		c.unwait(u)
 	}
 }
--- a/dispatcher/submitting.go
+++ b/dispatcher/submitting.go
@@ -54,7 +54,7 @@
 	c.jobs[j.id] = j
 	c.addWaiter(j, &waiter{ticket: s.Ticket, job: j, deadline: s.Deadline})
 	c.wake(timer{at: s.Deadline.Add(-replyMargin), kind: timerJob, job: j})
-	c.line(j)
+	c.order(j)
 	if !j.claimed() {
 		c.start(j)
 		return
@@ -152,7 +152,7 @@
 	c.jobs[j.id] = j
 	c.addWaiter(j, &waiter{ticket: s.Ticket, job: j, deadline: s.Deadline})
 	c.wake(timer{at: s.Deadline.Add(-replyMargin), kind: timerJob, job: j})
-	c.line(j)
+	c.order(j)
 	c.planClose(j)
 	j.claim = c.newClaim(j, done.claim.Generation+1, s.Deadline)
 	c.emit(TakeClaim{Old: done.claim, Claim: j.claim})
@@ -311,15 +311,11 @@
 	}
 }
 
-// line accounts the job's units as waiting in its pool.
-func (c *Core) line(j *job) {
-	for i := len(j.units) - 1; i >= 0; i-- {
-		c.enqueue(&j.units[i])
-	}
-	j.began = c.now
-	p := c.poolOf(j)
+// order gives the job its place within its team: by the time at which it
+// would end at best.
+func (c *Core) order(j *job) {
 	mean := c.times(j.submission.Plan.Route.Name).mean
-	slots := c.chooser.Capacity(c.now, p.name).Slots
+	slots := c.chooser.Capacity(c.now, c.poolOf(j).name).Slots
 	rounds := 1 + len(j.units)/max(slots, 1)
 	j.rank = c.now.Add(time.Duration(rounds) * mean)
 }
@@ -343,10 +339,17 @@
 	c.poolOf(u.job).waiting--
 }
 
-// start lets the job's tasks be sent.
+// start puts every task that has not run in line. Work that waits for a claim
+// isn't in line, so that it keeps no other work out while the store is down.
 func (c *Core) start(j *job) {
 	j.phase = phaseRunning
 	j.began = c.now
+	for i := len(j.units) - 1; i >= 0; i-- {
+		u := &j.units[i]
+		if !u.ran && len(u.sends) == 0 {
+			c.enqueue(u)
+		}
+	}
 	c.queueJob(j)
 }
 
