--- a/entry/entry.go
+++ b/entry/entry.go
@@ -48,6 +48,8 @@
 	Table tabler.Table
 	// Log may be nil.
 	Log *slog.Logger
+	// SweepRandom spreads the sweeps of old claims; nil takes a random seed.
+	SweepRandom *rand.Rand
 }
 
 // Entry is one running entry.
@@ -67,6 +69,7 @@
 	follower  *follower.Follower
 	registrar *registrar.Keeper
 	claimer   *claimer.Claimer
+	sweeper   *claimer.Sweeper
 	linker    *linker.Linker
 	asker     *greeter.Asker
 	greeter   *greeter.Greeter
@@ -196,6 +199,7 @@
 		Registry: e.registry,
 		Log:      e.o.Log,
 	})
+	e.sweeper = claimer.NewSweeper(e.table, e.o.SweepRandom, e.o.Log)
 	e.loop.links, e.loop.owners, e.loop.claims = e.linker, e.asker, e.claimer
 	e.loop.start()
 }
@@ -239,6 +243,7 @@
 func (e *Entry) unwire() {
 	e.loop.close()
 	e.asker.Close()
+	e.sweeper.Close()
 	e.claimer.Close()
 	e.linker.Close()
 	e.follower.Close()
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -17,6 +18,7 @@
 	"agatevalve/loader"
 	"agatevalve/publisher"
 	"agatevalve/router"
+	"agatevalve/tabler"
 )
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
@@ -171,3 +173,29 @@
 	is.NoErr(err) // The callers' address of the failed start is free again.
 	closeEntry(t, e)
 }
+
+// soonThenLate makes the first pause short and all others long.
+type soonThenLate struct{ drawn bool }
+
+// Uint64 implements rand.Source.
+func (s *soonThenLate) Uint64() uint64 {
+	if !s.drawn {
+		s.drawn = true
+		return 1 << 20
+	}
+	return 1<<63 | 1<<20
+}
+
+// TestEntrySweepsOldClaims expects the mark that the first sweep leaves.
+func TestEntrySweepsOldClaims(t *testing.T) {
+	is := is.New(t)
+	table := emulator.NewTable(emulator.Options{})
+	e, err := entry.New(entry.Options{Settings: settings(), Table: table, SweepRandom: rand.New(&soonThenLate{})})
+	is.NoErr(err)
+	defer closeEntry(t, e)
+	s := &system{t: t}
+	s.await("the first sweep leaves its mark", func() bool {
+		rows, err := table.Scan(context.Background(), tabler.ClaimIndex, "")
+		return err == nil && len(rows) == 1
+	})
+}
