--- a/surveyor/estimator/estimator.go
+++ b/surveyor/estimator/estimator.go
@@ -186,10 +186,10 @@
 		jobs := starts / float64(tasks)
 		rows = append(rows,
 			e.row(fmt.Sprintf("claims, jobs of %d", tasks), rate, "claim-wire-bytes at the claim's agents x jobs of the entry", func(d Design) float64 {
-				return e.line("claim-wire-bytes").At(t.claimAgents(d)) * jobs
+				return e.line("claim-wire-bytes").At(t.claimAgents(d, tasks)) * jobs
 			}),
 			e.row(fmt.Sprintf("claims, jobs of %d", tasks), core, "claim-time at the claim's agents x jobs of the entry", func(d Design) float64 {
-				return percent * micro * e.line("claim-time").At(t.claimAgents(d)) * jobs
+				return percent * micro * e.line("claim-time").At(t.claimAgents(d, tasks)) * jobs
 			}))
 	}
 	kept := e.row("answers kept for 2 min, keyed jobs of 10, uncapped", megabytes, "kept-answer-memory x jobs of the entry x 120 s", func(Design) float64 {
--- a/surveyor/estimator/store.go
+++ b/surveyor/estimator/store.go
@@ -39,7 +39,7 @@
 		rows = append(rows, sweep,
 			e.row(name+"rows", "rows/s", "one for each claim, one index row for each transaction", func(Design) float64 { return claims + transactions }),
 			e.row(name+"row bytes", "MB/s", "claim-row-bytes at the claim's agents x claims", func(d Design) float64 {
-				return e.line("claim-row-bytes").At(t.claimAgents(d)) * claims / million
+				return e.line("claim-row-bytes").At(t.claimAgents(d, tasks)) * claims / million
 			}),
 			e.row(name+"wait for a claim", "ms", fmt.Sprintf("claim-wait-%d at all entries", tasks), func(Design) float64 {
 				return e.at(fmt.Sprintf("claim-wait-%d", tasks), entries)
--- a/surveyor/estimator/target.go
+++ b/surveyor/estimator/target.go
@@ -100,7 +100,8 @@
 	Renew     time.Duration
 	Poll      time.Duration
 	Ping      time.Duration
-	// ClaimAgents caps the agents that a claim names; 0 names all of the pool.
+	// ClaimAgents is how many agents the claim of a small job names. A larger
+	// one names two for each task.
 	ClaimAgents int
 }
 
@@ -117,6 +118,8 @@
 		Renew:     keeperPause,
 		Poll:      1500 * time.Millisecond,
 		Ping:      linker.DefaultIdlePing,
+
+		ClaimAgents: 16,
 	}
 }
 
@@ -136,12 +139,8 @@
 }
 
 // claimAgents is how many agents the claim of a job names.
-func (t Target) claimAgents(d Design) float64 {
-	all := t.agentsPerEntry(d)
-	if d.ClaimAgents == 0 {
-		return all
-	}
-	return min(all, float64(d.ClaimAgents))
+func (t Target) claimAgents(d Design, tasks int) float64 {
+	return min(t.agentsPerEntry(d), float64(max(d.ClaimAgents, 2*tasks)))
 }
 
 func perSecond(period time.Duration) float64 { return 1 / period.Seconds() }
