dispatcher: Start idempotent work elsewhere when its agent is out of reach

Cause: after a link was lost the adapter asks the agent until the tasks' deadline; with the agent dead and not replaced, callers of idempotent tasks waited that long although another minion might have answered. Ruled out: giving up on non-idempotent ones sooner, since a frozen agent may thaw with the answer. Change: an idempotent task whose link was lost is started once more at another minion, from the retry budget; the first may still answer. Operators see each minion's mean time, which status showed as unknown.

--- a/balancer/minion.go
+++ b/balancer/minion.go
@@ -69,6 +69,9 @@
 	return float64(m.Own) + others
 }
 
+// Service returns the moving mean of the time that tasks take there, or 0.
+func (m *Minion) Service() time.Duration { return m.service }
+
 // stalled reports whether the minion has work and has been silent for too long.
 func (m *Minion) stalled(now time.Time) bool {
 	return m.Own > 0 && !m.due.IsZero() && now.After(m.due)
--- a/dispatcher/core_test.go
+++ b/dispatcher/core_test.go
@@ -273,3 +273,18 @@
 	is.Equal(len(sends), 1)
 	is.Equal(sends[0].Start.Generation, takes[0].Claim.Generation)
 }
+
+func TestIdempotentTaskStartsElsewhereWhenItsAgentIsOutOfReach(t *testing.T) {
+	is := is.New(t)
+	e := newEntry("one")
+	e.announce("a", 2)
+	e.announce("b", 2)
+	sends := only[dispatcher.Send](e.step(dispatcher.Submitted{Submission: e.submission("", 1, true)}))
+	commands := e.step(dispatcher.LinkLost{Agent: sends[0].Agent.Process})
+	again := only[dispatcher.Send](commands)
+	is.Equal(len(again), 1)
+	is.True(again[0].Agent.Process != sends[0].Agent.Process)
+	is.Equal(len(only[dispatcher.Settle](commands)), 1) // the first may still answer
+	replies := only[dispatcher.Reply](e.step(finished(again[0])))
+	is.Equal(replies[0].Answer.Outcome, task.Complete)
+}
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -20,6 +20,19 @@
 	member bool
 }
 
+// unsure returns the attempts there that must be asked about, by job, index
+// and attempt.
+func (pr *peer) unsure() []Sent {
+	var list []Sent
+	for s, u := range pr.open {
+		if s.unsure {
+			list = append(list, sentOf(u, s))
+		}
+	}
+	sortSent(list)
+	return list
+}
+
 // heardFor is how long a frame proves that an agent is alive. It is longer than
 // the time between two pings of an idle link.
 const heardFor = 12 * time.Second
@@ -121,6 +134,8 @@
 	Ejected     bool
 	// Speed is the minion's time per task over the mean of its pool.
 	Speed float64
+	// Mean is the moving mean of the minion's time per task; 0 before the first answer.
+	Mean time.Duration
 }
 
 // View is the state of the core, for operators.
@@ -146,7 +161,7 @@
 		v.Agents = append(v.Agents, AgentView{
 			ID: id, Pools: slices.Clone(m.Pools), Zone: m.Zone, Slots: m.Slots,
 			Outstanding: m.Own, Others: m.Others, Leaving: m.Leaving,
-			Ejected: c.chooser.Ejected(c.now, id), Speed: m.Speed,
+			Ejected: c.chooser.Ejected(c.now, id), Speed: m.Speed, Mean: m.Service(),
 		})
 	}
 	slices.SortFunc(v.Agents, func(a, b AgentView) int { return strings.Compare(a.ID.Name, b.ID.Name) })
--- a/dispatcher/reports.go
+++ b/dispatcher/reports.go
@@ -231,22 +231,35 @@
 		s.unsure = true
 	}
 	c.settle(pr)
+	for _, sent := range pr.unsure() {
+		u, s := c.lookup(agent, sent.Task, sent.Attempt)
+		c.startElsewhere(u, s)
+	}
+}
+
+// startElsewhere starts an idempotent task once more when its agent is out of
+// reach, since a dead agent can't be asked before the deadline.
+func (c *Core) startElsewhere(u *unit, s *send) {
+	j := u.job
+	if j.phase != phaseRunning || !j.submission.Plan.Route.Idempotent || u.waiting || len(u.sends) > 1 {
+		return
+	}
+	u.tried = append(u.tried, s.agent)
+	if !c.mayRetry(u) {
+		return
+	}
+	u.retries++
+	c.enqueue(u)
+	c.queueJob(j)
 }
 
 // settle asks about the unsure attempts of an agent. Others must not be asked
 // about: a question that overtakes its start withdraws it.
 func (c *Core) settle(pr *peer) {
-	ask := Settle{Agent: pr.Peer}
-	for s, u := range pr.open {
-		if s.unsure {
-			ask.Tasks = append(ask.Tasks, sentOf(u, s))
-		}
-	}
-	if len(ask.Tasks) == 0 {
-		return
+	ask := Settle{Agent: pr.Peer, Tasks: pr.unsure()}
+	if len(ask.Tasks) > 0 {
+		c.emit(ask)
 	}
-	sortSent(ask.Tasks)
-	c.emit(ask)
 }
 
 func (c *Core) settled(e Settled) {
