dispatcher, queuer: Forget teams that callers make up

Cause, found by reading: an ended job stayed on top of its team's line until the team had work again, and a team's account was forgotten only once its virtual time was passed, which an idle pool never does; callers name their team in a header, so memory grew with every new name. Ruled out: a cap on team names, which would refuse honest callers.

--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -143,7 +143,9 @@
 	// Waiting and Running count tasks.
 	Waiting int
 	Running int
-	Agents  []AgentView
+	// Teams counts the teams with an account in a pool.
+	Teams  int
+	Agents []AgentView
 }
 
 // View returns a copy of the state, with agents by name.
@@ -152,6 +154,7 @@
 	for _, p := range c.pools {
 		v.Waiting += p.waiting
 		v.Running += p.sent()
+		v.Teams += p.queue.Teams()
 	}
 	for id := range c.peers {
 		m := c.chooser.Get(id)
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -54,9 +54,10 @@
 
 // pump sends what the pool's minions have room for.
 func (c *Core) pump(p *pool) {
+	p.tidy(c.now)
 	var blocked map[task.Team]bool
 	skip := func(team task.Team) bool { return blocked[team] }
-	for p.waiting > 0 {
+	for {
 		team, j, ok := p.queue.Peek(skip)
 		if !ok {
 			break
--- a/queuer/fair.go
+++ b/queuer/fair.go
@@ -145,10 +145,15 @@
 	}
 }
 
-// Forget removes the accounts of teams that wait for nothing and owe nothing.
-func (f *Fair[T]) Forget() {
+// Teams returns the number of teams with an account.
+func (f *Fair[T]) Teams() int { return len(f.teams) }
+
+// Forget removes the accounts of teams that wait for nothing and have used
+// nothing lately.
+func (f *Fair[T]) Forget(now time.Time) {
+	f.fade(now)
 	for team, l := range f.teams {
-		if l.items.Len() == 0 && l.pass <= f.pass && l.used == 0 {
+		if l.items.Len() == 0 && l.used == 0 {
 			delete(f.teams, team)
 		}
 	}
