--- a/dispatcher/teams_test.go
+++ b/dispatcher/teams_test.go
@@ -23,8 +23,9 @@
 		s.Job = task.KeyedJobID(s.Team, "job")
 		sends := only[dispatcher.Send](e.step(dispatcher.Submitted{Submission: s}))
 		is.Equal(len(sends), 1)
+		e.now = e.now.Add(50 * time.Millisecond)
 		e.step(finished(sends[0]))
-		e.now = e.now.Add(100 * time.Millisecond)
+		e.now = e.now.Add(50 * time.Millisecond)
 	}
 	is.True(e.core.View().Teams < 400) // those of the last half minute or so
 }
