dispatcher: Never call a claimed job not-run without the store's word

Cause, found by reading: a start refused in the last quarter of a second left the job with nothing open at its deadline, and it was told not-run without the confirmation that another entry has not taken it over. Ruled out: confirming then, since no time is left. Change: may-have-run at that moment; the remedy of keyed jobs names the key. Conclusion: every not-run of a claimed job rests on a write that followed it.

--- a/dispatcher/answers.go
+++ b/dispatcher/answers.go
@@ -41,15 +41,19 @@
 		return
 	}
 	outcome := j.verdict()
-	if j.phase != phaseRunning && j.claimed() {
-		// Whatever another submission with this key did is unknown here.
+	if j.claimed() && (j.phase != phaseRunning || outcome == task.NotRun) {
+		// There is no time left to learn what another owner has done.
 		outcome = task.MayHaveRun
 	}
 	reason := "the deadline passed before every task had answered"
 	if outcome == task.NotRun {
 		reason = "the deadline passed before a minion was free"
 	}
-	c.finish(j, refuse(outcome, http.StatusGatewayTimeout, reason, "send it again with a later deadline", time.Time{}))
+	remedy := "send it again with a later deadline"
+	if j.keyed() {
+		remedy = "send it again with the same key and a later deadline"
+	}
+	c.finish(j, refuse(outcome, http.StatusGatewayTimeout, reason, remedy, time.Time{}))
 }
 
 // closeDue gives up on a claimed job of which nothing was sent, early enough
--- a/dispatcher/core_test.go
+++ b/dispatcher/core_test.go
@@ -288,3 +288,20 @@
 	replies := only[dispatcher.Reply](e.step(finished(again[0])))
 	is.Equal(replies[0].Answer.Outcome, task.Complete)
 }
+
+func TestRefusalJustBeforeTheDeadlineIsNotCalledNotRun(t *testing.T) {
+	is := is.New(t)
+	e := newEntry("one")
+	e.announce("a", 1)
+	claims := only[dispatcher.WriteClaim](e.step(dispatcher.Submitted{Submission: e.submission("k", 1, false)}))
+	sends := only[dispatcher.Send](e.step(dispatcher.ClaimWon{Claim: claims[0].Claim}))
+	is.Equal(len(sends), 1)
+	e.now = e.now.Add(9980 * time.Millisecond)
+	e.step(dispatcher.Refused{Agent: sends[0].Agent.Process, Report: task.Report{
+		Task: sends[0].Start.Task, Attempt: sends[0].Start.Attempt, State: task.Unstarted, Refusal: task.Busy,
+	}})
+	e.now = e.now.Add(15 * time.Millisecond)
+	replies := only[dispatcher.Reply](e.step(dispatcher.Tick{}))
+	is.Equal(len(replies), 1)
+	is.Equal(replies[0].Answer.Outcome, task.MayHaveRun) // the store can't confirm it any more
+}
