greeter, attendant: Tell strangers which listener they want

Cause: the internal and the agents' listeners answered anything else with a bare 404. Conclusion: each listener says what it serves.

--- a/attendant/server.go
+++ b/attendant/server.go
@@ -26,6 +26,11 @@
 	idleWithin = time.Minute
 )
 
+// refuseStranger tells a caller who came to an agent that it serves entries.
+func refuseStranger(w http.ResponseWriter, _ *http.Request) {
+	http.Error(w, "this listener serves entries only; send requests and jobs to an entry", http.StatusNotFound)
+}
+
 func (a *Attendant) newServer() *http.Server {
 	mux := http.NewServeMux()
 	path, handler := agatevalvev1connect.NewAgentServiceHandler(a,
@@ -33,6 +38,7 @@
 		connect.WithCompression("gzip", nil, nil), // Costs more time than it saves between machines of one site.
 	)
 	mux.Handle(path, withController(handler))
+	mux.HandleFunc("/", refuseStranger)
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
--- a/greeter/greeter.go
+++ b/greeter/greeter.go
@@ -85,9 +85,15 @@
 func (g *Greeter) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(agatevalvev1connect.NewEntryServiceHandler(g, connect.WithReadMaxBytes(requestBytes)))
+	mux.HandleFunc("/", refuseStranger)
 	return mux
 }
 
+// refuseStranger tells a caller or operator who came to the wrong listener.
+func refuseStranger(w http.ResponseWriter, _ *http.Request) {
+	http.Error(w, "this listener serves agents and other entries only; send requests and jobs to the callers' listener", http.StatusNotFound)
+}
+
 // Announce takes an agent's word on itself.
 func (g *Greeter) Announce(ctx context.Context, request *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error) {
 	announcement, err := encoder.AnnouncementFromWire(request.Msg)
