announcer: Choose entries by zone, two of the own and two of others

Cause: rendezvous hashing alone put all four entries of 3.8% of the agents into the other region, by calculation for 16 entries in two regions, so some 42 would idle while the regions are cut off. Ruled out: more entries for each agent, which cost each entry links. Change: half the subset from the own zone, the rest from different other zones, filled up by rank. Figures: balance and stability tests hold with zones; every one of 1,100 agents keeps two entries of its zone. Conclusion: a cut between zones or regions leaves no agent alone.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -177,7 +177,7 @@
 func (a *Announcer) replace(listed []registrar.Member, now time.Time) (changed, doubtful bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.entries = Subset(a.o.Self.Peer.Process.Name, present(listed, a.answered, now), SubsetSize)
+	a.entries = Subset(a.o.Self.Peer.Process.Name, a.o.Self.Zone, present(listed, a.answered, now), SubsetSize)
 	answered := make(map[task.Process]time.Time, len(a.entries))
 	for _, e := range a.entries {
 		at, known := a.answered[e.Process]
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -32,10 +32,14 @@
 	entries := make([]registrar.Member, n)
 	for i := range entries {
 		entries[i].Process = task.Process{Name: fmt.Sprintf("entry-%d", i), Incarnation: 1}
+		entries[i].Zone = zoneOf(i)
 	}
 	return entries
 }
 
+// zoneOf spreads entries and agents over four availability zones.
+func zoneOf(i int) string { return fmt.Sprintf("zone-%d", i%4) }
+
 func names(entries []registrar.Member) map[string]bool {
 	set := make(map[string]bool, len(entries))
 	for _, e := range entries {
@@ -47,7 +51,7 @@
 func TestSmallSubsetIsAll(t *testing.T) {
 	is := is.New(t)
 	for n := range announcer.SubsetSize + 1 {
-		is.Equal(len(names(announcer.Subset("agent-1", members(n), announcer.SubsetSize))), n)
+		is.Equal(len(names(announcer.Subset("agent-1", zoneOf(1), members(n), announcer.SubsetSize))), n)
 	}
 }
 
@@ -56,7 +60,7 @@
 	const agents, entries = 1100, 20
 	counts := make(map[string]int)
 	for i := range agents {
-		chosen := announcer.Subset(fmt.Sprintf("agent-%d", i), members(entries), announcer.SubsetSize)
+		chosen := announcer.Subset(fmt.Sprintf("agent-%d", i), zoneOf(i), members(entries), announcer.SubsetSize)
 		is.Equal(len(chosen), announcer.SubsetSize)
 		for name := range names(chosen) {
 			counts[name]++
@@ -76,8 +80,8 @@
 	all := members(20)
 	for i := range 200 {
 		agent := fmt.Sprintf("agent-%d", i)
-		before := names(announcer.Subset(agent, all, announcer.SubsetSize))
-		after := names(announcer.Subset(agent, all[1:], announcer.SubsetSize))
+		before := names(announcer.Subset(agent, zoneOf(i), all, announcer.SubsetSize))
+		after := names(announcer.Subset(agent, zoneOf(i), all[1:], announcer.SubsetSize))
 		kept := 0
 		for name := range after {
 			if before[name] {
@@ -92,6 +96,19 @@
 	}
 }
 
+func TestSubsetStaysInReachWhenRegionsAreCutOff(t *testing.T) {
+	is := is.New(t)
+	for i := range 1100 {
+		own := zoneOf(i)
+		zones := make(map[string]int)
+		for _, m := range announcer.Subset(fmt.Sprintf("agent-%d", i), own, members(16), announcer.SubsetSize) {
+			zones[m.Zone]++
+		}
+		is.Equal(zones[own], announcer.SubsetSize/2)   // left when every other zone is cut off
+		is.Equal(len(zones), 1+announcer.SubsetSize/2) // the rest are in different zones
+	}
+}
+
 // entry is an entry that takes announcements.
 type entry struct {
 	agatevalvev1connect.UnimplementedEntryServiceHandler
