entry, testscripts: Give processes ports that nothing else takes

Ruled out: trying the whole test again, which hides real faults. Change: ports below the range that the kernel hands out, a range for each package, none given twice in a run. Conclusion: no connection can take a port before its process opens it.

--- a/entry/system_test.go
+++ b/entry/system_test.go
@@ -159,12 +159,11 @@
 }
 
 func (s *system) freeAddress() netip.AddrPort {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := freePort()
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	return netip.MustParseAddrPort(listener.Addr().String())
+	return address
 }
 
 func (s *system) startMinion(address string, number int) {
--- a/testscripts/examples_test.go
+++ b/testscripts/examples_test.go
@@ -33,7 +33,7 @@
 			if free[match[0]] != "" {
 				continue
 			}
-			address, err := freeAddress()
+			address, err := freePort()
 			if err != nil {
 				return err
 			}
--- a/testscripts/testscripts_test.go
+++ b/testscripts/testscripts_test.go
@@ -51,7 +51,7 @@
 		RequireExplicitExec: true,
 		RequireUniqueNames:  true,
 		Setup: func(env *testscript.Env) error {
-			store, err := freeAddress()
+			store, err := freePort()
 			if err != nil {
 				return err
 			}
@@ -98,7 +98,7 @@
 func writeSettings(env *testscript.Env, store netip.AddrPort) error {
 	addresses := map[string]netip.AddrPort{"STORE": store}
 	for _, name := range []string{"CALLERS", "OPERATORS", "INTERNAL", "AGENT"} {
-		address, err := freeAddress()
+		address, err := freePort()
 		if err != nil {
 			return err
 		}
@@ -126,16 +126,6 @@
 	return nil
 }
 
-func freeAddress() (netip.AddrPort, error) {
-	var config net.ListenConfig
-	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	defer func() { _ = listener.Close() }()
-	return netip.ParseAddrPort(listener.Addr().String())
-}
-
 // exits runs a command and compares its exit code: exits CODE COMMAND ARGS.
 func exits(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 2 {
