--- a/balancer/health.go
+++ b/balancer/health.go
@@ -33,8 +33,12 @@
 	longestEjection = time.Minute
 )
 
-// observe takes in one answer; others is the failure share of the rest of the pool.
+// observe takes in one answer; others is the failure share of the rest of the
+// pool. Answers of tasks that were there when the ejection began don't count.
 func (h *health) observe(now time.Time, failed bool, others float64) {
+	if h.ejected(now) {
+		return
+	}
 	h.answers++
 	if !failed {
 		h.failures -= h.failures * healthGain
@@ -48,7 +52,7 @@
 		return
 	}
 	outlier := h.failures > ejectShare && h.failures > others+ejectMargin
-	if outlier && h.answers >= ejectAnswers && !h.ejected(now) {
+	if outlier && h.answers >= ejectAnswers {
 		h.eject(now)
 	}
 }
