dispatcher: Model the links' pings in the fuzz

In the fuzz an announcement lived for 6 s, so that an entry forgot a leaving agent that it didn't hear of; shipped ones live for 150 s and the pings of linker do it. The world now keeps the entry's side of each link as linker does: announcements reach the core over an open link only, a quiet link is pinged (250 ms with work, idle else), one without an answer in 500 ms ends, and then the core is told that its agent leaves and that the link is lost; a link is tried again with a growing pause. Announcements live for announcer.Lifetime. A start for a closed link comes back as unsent, a cancel or acknowledgement is dropped. A late frame of an earlier link brings its reports but no load.

The bound on sends to a leaving agent stays at 6 s. An idle link is pinged after 10 s as shipped, which the bound doesn't allow, so the fuzz pings it after 3 s: 3 s, 0.5 s for the answer and 2 s for a frame on its way. TestBusyLinkTellsOfLeavingWithinASecond has the shipped times.

--- a/dispatcher/network_test.go
+++ b/dispatcher/network_test.go
@@ -5,6 +5,7 @@
 
 	"agatevalve/common/task"
 	"agatevalve/dispatcher"
+	"agatevalve/linker"
 	"agatevalve/runner"
 )
 
@@ -31,6 +32,13 @@
 	case dispatcher.Send:
 		h := w.host(c.Agent.Process)
 		w.oracle.sent(w.now, n, c)
+		if !n.writes(c.Agent.Process) {
+			w.post(message{text: "unsent", deliver: func() {
+				w.toEntry(n, self, dispatcher.Refused{Agent: c.Agent.Process, Report: linker.Unsent(c.Start)})
+			}})
+			return
+		}
+		n.link(c.Agent.Process).began(w.now, work{c.Start.Task, c.Start.Attempt})
 		w.frame(n, h, "start", func() {
 			for _, to := range w.ports.targets(w, h) {
 				w.toAgent(to, to.self, runner.Arrived{From: self, Start: c.Start})
@@ -49,8 +57,12 @@
 	}
 }
 
-// frame posts a frame to an agent's run; it is void when that run has ended.
+// frame posts a frame to an agent's run, if there is a link. It is void when
+// that run has ended.
 func (w *world) frame(n *node, h *host, text string, deliver func(), to task.Process) {
+	if !n.writes(to) {
+		return
+	}
 	w.post(message{text: text, frame: true, pair: pair{n.name, h.name}, deliver: func() {
 		if h.self == to {
 			deliver()
@@ -165,8 +177,9 @@
 		n := w.node(to)
 		w.post(message{text: text, frame: true, pair: pair{n.name, h.name}, deliver: func() {
 			w.toEntry(n, to, event)
-			if w.now.Sub(at) < frameAge {
-				w.toEntry(n, to, dispatcher.LoadSeen{Agent: from, Load: load})
+			if n.self == to {
+				n.settledAt(from, event)
+				w.heard(n, from, at, load)
 			}
 		}})
 	}
--- a/dispatcher/oracle_test.go
+++ b/dispatcher/oracle_test.go
@@ -26,8 +26,9 @@
 )
 
 // leaveWithin bounds the sends to an agent that has left, also when the entry
-// hears nothing of it.
-const leaveWithin = announceFor
+// hears nothing of it. It covers a frame on its way (frameAge), the pause before
+// a ping (idlePing), and the wait for its answer.
+const leaveWithin = 6 * time.Second
 
 // violation is a broken promise.
 type violation struct {
--- a/dispatcher/planted_test.go
+++ b/dispatcher/planted_test.go
@@ -8,6 +8,7 @@
 
 	"agatevalve/common/task"
 	"agatevalve/dispatcher"
+	"agatevalve/linker"
 )
 
 // desk is a route for requests that may run once only.
@@ -48,6 +49,7 @@
 		{runsOnce, ports{spread: true}, 3, submitKeyless},
 		{leavesAlone, ports{deafToDrain: true}, 1, submitAfterDrain},
 		{leavesAlone, ports{cheerful: true}, 1, submitLongAfterDrain},
+		{leavesAlone, ports{unaware: true}, 1, submitUnheard},
 		{cutsNothing, ports{hasty: true}, 1, stopEntryAtWork},
 		{cutsNothing, ports{hasty: true}, 1, stopAgentAtWork},
 	}
@@ -142,6 +144,20 @@
 	w.deliverAll()
 }
 
+// submitUnheard sends a request to an agent that left in silence.
+func submitUnheard(w *world) {
+	w.mute(w.entries[0], w.agents[0])
+	w.drainAgent(w.agents[0], true)
+	w.advance(w.now.Add(leaveWithin + time.Second))
+	w.submit(w.entries[0], "", 0, 1, desk, time.Second)
+}
+
+// mute keeps all frames and announcements of an agent from an entry.
+func (w *world) mute(n *node, h *host) {
+	p := pair{n.name, h.name}
+	w.deaf[p], w.silent[p] = true, true
+}
+
 func stopEntryAtWork(w *world) {
 	n := w.entries[0]
 	w.submit(n, "", 0, 1, desk, time.Second)
@@ -165,13 +181,37 @@
 	is := is.New(t)
 	w := newWorld(1, 1, 1)
 	n, h := w.entries[0], w.agents[0]
-	w.deaf[pair{n.name, h.name}] = true
-	w.silent[pair{n.name, h.name}] = true
+	w.mute(n, h)
 	w.drainAgent(h, true)
 	w.advance(w.now.Add(leaveWithin))
 	w.submit(n, "", 0, 1, desk, time.Second)
+	is.Equal(w.startsInFlight(), 0)
+	is.Equal(w.broken(), nil)
+}
+
+// TestBusyLinkTellsOfLeavingWithinASecond has an agent leave unheard as above,
+// with the shipped times. One start that is lost is enough to end the link.
+func TestBusyLinkTellsOfLeavingWithinASecond(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 1, 1)
+	n, h := w.entries[0], w.agents[0]
+	n.link(h.self).idlePing = linker.DefaultIdlePing
+	w.mute(n, h)
+	w.drainAgent(h, true)
+	w.advance(w.now.Add(linker.DefaultIdlePing - time.Second))
+	w.submit(n, "", 0, 1, desk, 10*time.Second)
+	is.Equal(w.startsInFlight(), 1)
+	w.advance(w.now.Add(linker.DefaultPingAfter + linker.DefaultSilentAfter))
+	w.submit(n, "", 0, 1, desk, 10*time.Second)
+	is.Equal(w.startsInFlight(), 1)
+}
+
+func (w *world) startsInFlight() int {
+	count := 0
 	for _, m := range w.flight {
-		is.True(m.text != "start")
+		if m.text == "start" {
+			count++
+		}
 	}
-	is.Equal(w.broken(), nil)
+	return count
 }
--- a/dispatcher/ports_test.go
+++ b/dispatcher/ports_test.go
@@ -16,6 +16,8 @@
 	cheerful bool
 	// deafToDrain keeps a drain from the agent's core.
 	deafToDrain bool
+	// unaware keeps from the entries' cores that a link has ended.
+	unaware bool
 	// hasty makes a planned stop wait for nothing.
 	hasty bool
 	// reply changes what callers get, event what agents tell, and request what
--- a/dispatcher/world_test.go
+++ b/dispatcher/world_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"agatevalve/announcer"
 	"agatevalve/common/task"
 	"agatevalve/dispatcher"
 	"agatevalve/router"
@@ -16,7 +17,7 @@
 )
 
 // announceFor is how long an announcement stands.
-const announceFor = 6 * time.Second
+const announceFor = announcer.Lifetime
 
 // world joins shipped entry and agent cores by a network, a store and minions
 // that do what the fuzz decides. Every message waits in flight until delivered.
@@ -95,6 +96,8 @@
 	held []dispatcher.Event
 	// resumed is when the last pause ended.
 	resumed time.Time
+	// links are those to agents that have announced themselves.
+	links []*link
 }
 
 // host is an agent that restarts with a new incarnation.
@@ -148,14 +151,11 @@
 
 func (w *world) bootEntry(n *node) {
 	n.self = task.Process{Name: n.name, Incarnation: n.self.Incarnation + 1}
-	n.paused, n.draining, n.held = false, false, nil
+	n.paused, n.draining, n.held, n.links = false, false, nil, nil
 	n.core = dispatcher.New(dispatcher.Options{
 		Self: n.self, Address: netip.MustParseAddrPort("127.0.0.1:1"),
 		QueueTasks: 40, KeepAnswers: 20 * time.Second, KeepBytes: 1 << 20, Random: w.random,
 	})
-	for _, h := range w.agents {
-		w.toAgent(h, h.self, runner.LinkOpened{Entry: n.self})
-	}
 }
 
 func (w *world) bootAgent(h *host) {
@@ -165,18 +165,15 @@
 	h.core = runner.New(runner.Options{
 		Slots: 2, QueueLength: 1, Remember: 60, ResponseBytes: 1 << 10, ResultBytes: 1 << 16,
 	})
-	for _, n := range w.entries {
-		w.toAgent(h, h.self, runner.LinkOpened{Entry: n.self})
-	}
 }
 
 func (w *world) announceAll() {
 	for _, h := range w.agents {
 		for _, n := range w.entries {
 			if !h.paused && !w.deaf[pair{n.name, h.name}] {
-				w.toEntry(n, n.self, dispatcher.Announced{Announcement: dispatcher.Announcement{
+				w.meet(n, dispatcher.Announcement{
 					Peer: w.peer(h), Pools: []string{"desk", "annex"}, Load: w.ports.loadOf(h), Expires: w.now.Add(announceFor),
-				}})
+				})
 			}
 		}
 	}
@@ -287,6 +284,9 @@
 	}
 	for _, n := range w.entries {
 		consider(n.core.NextWake())
+		for _, k := range n.links {
+			consider(k.wake())
+		}
 	}
 	for _, h := range w.agents {
 		if wake := h.core.NextWake(); !wake.IsZero() {
@@ -298,9 +298,13 @@
 
 func (w *world) tick() {
 	for _, n := range w.entries {
-		if !n.paused {
-			w.toEntry(n, n.self, dispatcher.Tick{})
+		if n.paused {
+			continue
+		}
+		for _, k := range n.links {
+			w.watch(n, k)
 		}
+		w.toEntry(n, n.self, dispatcher.Tick{})
 	}
 	for _, h := range w.agents {
 		if !h.paused {
@@ -367,13 +371,6 @@
 	w.toEntry(w.node(c.entry), c.entry, dispatcher.Withdrawn{Ticket: ticket})
 }
 
-// breakLink tells both ends that their link broke, and opens a new one.
-func (w *world) breakLink(n *node, h *host) {
-	w.toEntry(n, n.self, dispatcher.LinkLost{Agent: h.self})
-	w.toAgent(h, h.self, runner.LinkClosed{Entry: n.self})
-	w.toAgent(h, h.self, runner.LinkOpened{Entry: n.self})
-}
-
 // sortedCalls returns the calls of a minion in a fixed order.
 func sortedCalls(calls map[work]bool) []work {
 	return slices.SortedFunc(maps.Keys(calls), func(a, b work) int {
