claimer: Bound the transactions of all entries together

Each entry now also keeps to its share of 160 transactions a second of the fleet, divided by the live entries (unknown and zero count as one, and a share is at least one a second).

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -21,6 +21,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -59,9 +60,11 @@
 	batches  *ring.Ring[*Batch]
 	replies  *ring.Ring[reply]
 	meters   meters
-	stop     context.CancelFunc
-	loop     sync.WaitGroup
-	senders  sync.WaitGroup
+	// entries is the number of live entries; 0 when unknown.
+	entries atomic.Int64
+	stop    context.CancelFunc
+	loop    sync.WaitGroup
+	senders sync.WaitGroup
 }
 
 // reply is the end of one call.
@@ -100,6 +103,10 @@
 // Take queues a claim that replaces another. It reports false like Insert.
 func (c *Claimer) Take(command dispatcher.TakeClaim) bool { return c.commands.Offer(command) }
 
+// SetEntries tells how many live entries share the bound on transactions.
+// Until then, and below one, this entry counts as the only one.
+func (c *Claimer) SetEntries(entries int) { c.entries.Store(int64(entries)) }
+
 // Close ends all claims with ClaimFailed, and waits for the goroutines.
 func (c *Claimer) Close() {
 	c.commands.Close()
@@ -186,6 +193,7 @@
 }
 
 func (c *Claimer) sendBatches() {
+	c.core.SetEntries(int(c.entries.Load()))
 	now := time.Now()
 	for batch := c.core.Next(now); batch != nil; batch = c.core.Next(now) {
 		c.batches.Offer(batch) // The ring has a place for each call in flight.
--- a/claimer/core.go
+++ b/claimer/core.go
@@ -23,6 +23,9 @@
 	// Rows and Bytes bound the claims of one transaction.
 	Rows  int
 	Bytes int
+	// FleetCommits bounds the transactions a second of all entries together,
+	// so that the store has room for other writers.
+	FleetCommits int
 	// InFlight bounds the calls that are sent and not answered. There is more
 	// than one only when the others are late.
 	InFlight int
@@ -38,6 +41,7 @@
 		WaitingBytes: 64 << 20,
 		Rows:         1024,
 		Bytes:        2 << 20,
+		FleetCommits: 160,
 		InFlight:     4,
 		MinBackoff:   10 * time.Millisecond,
 		MaxBackoff:   time.Second,
@@ -116,7 +120,7 @@
 		random: random,
 		held:   map[task.JobID]*pending{},
 		rows:   limits.Rows,
-		pacer:  &pacer{random: random},
+		pacer:  newPacer(limits.FleetCommits, random),
 	}
 }
 
@@ -130,14 +134,20 @@
 	return c.add(&pending{claim: command.Claim, old: &command.Old}, now)
 }
 
+// SetEntries tells how many live entries share the bound on transactions. A
+// number below one counts as one.
+func (c *Core) SetEntries(entries int) { c.pacer.entries = max(1, entries) }
+
 // Next returns the next call to make, or nil when there is none now.
 func (c *Core) Next(now time.Time) *Batch {
 	if !c.free(now) || now.Before(c.resume) {
 		return nil
 	}
 	batch := c.nextRead()
-	if batch == nil && !now.Before(c.pacer.ready) {
-		batch = c.nextCommit()
+	if batch == nil && !now.Before(c.pacer.ready()) {
+		if batch = c.nextCommit(); batch != nil {
+			c.pacer.sent(now)
+		}
 	}
 	if batch != nil {
 		batch.sent = now
@@ -167,7 +177,7 @@
 	}
 	next := c.resume
 	if len(c.reads) == 0 {
-		next = later(next, c.pacer.ready)
+		next = later(next, c.pacer.ready())
 	}
 	if n := len(c.inFlight); n > 0 {
 		next = later(next, c.inFlight[n-1].sent.Add(c.pacer.late()))
--- a/claimer/load_test.go
+++ b/claimer/load_test.go
@@ -31,7 +31,6 @@
 // loadResult is what became of it.
 type loadResult struct {
 	won, failed int
-	counts      emulator.Counts
 	// waits are the times from offer to victory, in order.
 	waits []time.Duration
 }
@@ -51,18 +50,19 @@
 
 func (l load) check(t *testing.T) {
 	is := is.New(t)
-	r := l.run()
+	table := emulator.NewTable(emulator.Options{})
+	r := l.run(table)
+	counts := table.Counts()
 	is.Equal(r.failed, 0)
 	is.Equal(r.won, seconds*startsPerSecond/l.tasks)
-	is.Equal(r.counts.Conflicts, 0)
+	is.Equal(counts.Conflicts, 0)
 	t.Logf("claims %d transactions %d rows/transaction %.1f bytes/claim %.0f p50 %v p99 %v",
-		r.won, r.counts.Commits, float64(r.won)/float64(r.counts.Commits),
-		float64(r.counts.Bytes)/float64(r.won),
+		r.won, counts.Commits, float64(r.won)/float64(counts.Commits),
+		float64(counts.Bytes)/float64(r.won),
 		r.waits[len(r.waits)/2], r.waits[len(r.waits)*99/100])
 }
 
-func (l load) run() loadResult {
-	table := emulator.NewTable(emulator.Options{})
+func (l load) run(table tabler.Table) loadResult {
 	type end struct {
 		event dispatcher.Event
 		at    time.Time
@@ -76,6 +76,7 @@
 			Deliver: func(e dispatcher.Event) { ends <- end{e, time.Now()} },
 			Random:  rand.New(rand.NewPCG(1, uint64(i))),
 		}))
+		claimers[i].SetEntries(l.entries)
 	}
 	offered := make([]time.Time, total)
 	for job := range total {
@@ -96,7 +97,6 @@
 		r.waits = append(r.waits, e.at.Sub(offered[won.Claim.Token]))
 	}
 	slices.Sort(r.waits)
-	r.counts = table.Counts()
 	for _, c := range claimers {
 		c.Close()
 	}
