dispatcher: Let a pool work off what the store held back

All held claims are won at once, the next of a team waits longer than 1.5 mean service times, and admission takes that for a standing overload.

Ruled out: the drain itself is slow (the last held task is sent 0.2 s after the return); a herd at the store (claims share transactions).

Change: a job that the store held longer than the longest delay gives its pool twice that time, in which the delay isn't taken for overload. Queue limit and deadlines still bound it.

The new test refuses the first submission with the old code.

--- a/dispatcher/admitting.go
+++ b/dispatcher/admitting.go
@@ -12,6 +12,9 @@
 	delayMeans = 1.5
 	// leastDelay is the least such delay.
 	leastDelay = 100 * time.Millisecond
+	// catchUpTimes the time that the store held a job back is how long its pool
+	// may take to work off what came in with it.
+	catchUpTimes = 2
 )
 
 // admit refuses early what can't be served in time. The refusal of a keyed
@@ -36,7 +39,7 @@
 	if p.waiting+len(s.Tasks) > limit {
 		return refuse(outcome, http.StatusTooManyRequests, "the queue of the pool is full", "send it again later", c.now.Add(wait)), false
 	}
-	if c.delay(p, s.Team) > c.longestDelay(s) {
+	if c.overloaded(p, s) {
 		return refuse(outcome, http.StatusServiceUnavailable, "the pool has more work than it can serve", "send it again later", c.now.Add(time.Second)), false
 	}
 	if c.now.Add(wait).After(s.Deadline) {
@@ -68,6 +71,24 @@
 	return time.Duration(rounds * float64(times.mean))
 }
 
+// overloaded reports whether a queue stands that new work would lengthen.
+func (c *Core) overloaded(p *pool, s Submission) bool {
+	return !p.catchUpUntil.After(c.now) && c.delay(p, s.Team) > c.longestDelay(s)
+}
+
+// catchUp gives a pool time to work off a job that the store held back beside
+// new work, which would be refused for the wait of such jobs otherwise.
+func (c *Core) catchUp(j *job) {
+	held := j.began.Sub(j.arrived)
+	if held <= c.longestDelay(j.submission) {
+		return
+	}
+	p := c.poolOf(j)
+	if until := j.began.Add(catchUpTimes * held); until.After(p.catchUpUntil) {
+		p.catchUpUntil = until
+	}
+}
+
 // delay returns how long the next job of a team has waited for its first
 // start, or how long the last one did if the next has started.
 func (c *Core) delay(p *pool, team task.Team) time.Duration {
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -31,6 +31,8 @@
 	left int
 	// queued is true while the job stands in its pool's queue.
 	queued bool
+	// arrived is when it was submitted here.
+	arrived time.Time
 	// began is when its tasks might first be sent: for a claimed job, when the
 	// claim was won.
 	began time.Time
--- a/dispatcher/pool.go
+++ b/dispatcher/pool.go
@@ -22,6 +22,9 @@
 	running map[task.Team]int
 	// delays holds how long the last job of each team waited for its first start.
 	delays map[task.Team]time.Duration
+	// catchUpUntil is until when a long wait isn't taken for overload, since the
+	// store held work back and has let it in at once.
+	catchUpUntil time.Time
 	// dirty is true while the pool stands in line for a pump.
 	dirty bool
 	// pumpAt is when a pump is already due; zero when none is.
@@ -47,6 +50,7 @@
 // order gives the job its place within its team: by the time at which it
 // would end at best.
 func (c *Core) order(j *job) {
+	j.arrived = c.now
 	mean := c.times(j.submission.Plan.Route.Name).mean
 	slots := c.chooser.Capacity(c.now, c.poolOf(j).name).Slots
 	rounds := 1 + len(j.units)/max(slots, 1)
@@ -77,6 +81,7 @@
 func (c *Core) start(j *job) {
 	j.phase = phaseRunning
 	j.began = c.now
+	c.catchUp(j)
 	for i := len(j.units) - 1; i >= 0; i-- {
 		u := &j.units[i]
 		if !u.ran && len(u.sends) == 0 {
--- a/dispatcher/regressions_test.go
+++ b/dispatcher/regressions_test.go
@@ -53,3 +53,24 @@
 	is.Equal(len(settles[0].Tasks), 1) // a question that overtakes a start withdraws it
 	is.Equal(settles[0].Tasks[0].Task, old.Start.Task)
 }
+
+func TestWorkThatTheStoreHeldBackKeepsNoNewWorkOut(t *testing.T) {
+	is := is.New(t)
+	e := newEntry("one")
+	e.announce("a", 1)
+	var claims []dispatcher.WriteClaim
+	for _, key := range []task.Key{"k", "l", "m", "n", "o", "p", "q"} {
+		claims = append(claims, only[dispatcher.WriteClaim](e.step(dispatcher.Submitted{Submission: e.submission(key, 1, false)}))...)
+	}
+	e.now = e.now.Add(time.Second)
+	for _, c := range claims {
+		e.step(dispatcher.ClaimWon(c))
+	}
+	refusals := func() int {
+		return len(only[dispatcher.Reply](e.step(dispatcher.Submitted{Submission: e.submission("", 1, false)})))
+	}
+	e.now = e.now.Add(1900 * time.Millisecond)
+	is.Equal(refusals(), 0)
+	e.now = e.now.Add(200 * time.Millisecond)
+	is.Equal(refusals(), 1) // twice the time that the store held the claims has passed
+}
