entry, loader: Set what the claims of all entries may write

The claimer's bound on transactions takes a setting and the number of live entries. claim-writes-per-second of the limits (160) is the first; the entry tells its claimer the length of the list at each read of it.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -199,6 +199,7 @@
 	e.asker = greeter.NewAsker(greeter.AskerOptions{Events: e.loop.events, Log: e.o.Log, Metrics: e.registry})
 	e.claimer = claimer.New(claimer.Options{
 		Table:    e.table,
+		Limits:   claimLimits(limits),
 		Deliver:  func(ev dispatcher.Event) { e.loop.events.Put(context.Background(), ev) },
 		Registry: e.registry,
 		Log:      e.o.Log,
@@ -268,8 +269,9 @@
 }
 
 // hearMembers passes on the revisions that other entries have in force, and
-// registers the one in force here.
+// registers the one in force here. The members share the writes for claims.
 func (e *Entry) hearMembers(members []registrar.Member) {
+	e.claimer.SetEntries(len(members))
 	for _, m := range members {
 		e.follower.Hear(m.Revision)
 	}
@@ -277,6 +279,12 @@
 	e.registrar.SetRevision(e.follower.Revision())
 }
 
+func claimLimits(settings loader.Limits) claimer.Limits {
+	limits := claimer.DefaultLimits()
+	limits.FleetCommits = settings.ClaimWritesPerSecond
+	return limits
+}
+
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func pause(ctx context.Context, length time.Duration) {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -91,11 +91,14 @@
 func limits(o *parser.Object) Limits {
 	d := DefaultLimits()
 	l := Limits{
-		HeaderBytes:  parser.Optional(o, "header-bytes", d.HeaderBytes, parser.Int(kibibyte, mebibyte)),
-		BodyBytes:    parser.Optional(o, "body-bytes", d.BodyBytes, parser.Int(kibibyte, gibibyte)),
-		JobTasks:     parser.Optional(o, "job-tasks", d.JobTasks, parser.Int(1, 100_000)),
-		AnswerBytes:  parser.Optional(o, "answer-bytes", d.AnswerBytes, parser.Int(kibibyte, gibibyte)),
-		QueueTasks:   parser.Optional(o, "queue-tasks", d.QueueTasks, parser.Int(1, 10_000_000)),
+		HeaderBytes: parser.Optional(o, "header-bytes", d.HeaderBytes, parser.Int(kibibyte, mebibyte)),
+		BodyBytes:   parser.Optional(o, "body-bytes", d.BodyBytes, parser.Int(kibibyte, gibibyte)),
+		JobTasks:    parser.Optional(o, "job-tasks", d.JobTasks, parser.Int(1, 100_000)),
+		AnswerBytes: parser.Optional(o, "answer-bytes", d.AnswerBytes, parser.Int(kibibyte, gibibyte)),
+		QueueTasks:  parser.Optional(o, "queue-tasks", d.QueueTasks, parser.Int(1, 10_000_000)),
+
+		ClaimWritesPerSecond: parser.Optional(o, "claim-writes-per-second", d.ClaimWritesPerSecond, parser.Int(1, 1_000_000)),
+
 		AnswerWithin: parser.Optional(o, "answer-within", d.AnswerWithin, parser.Duration(10*time.Millisecond, time.Hour)),
 		MaxDeadline:  parser.Optional(o, "max-deadline", d.MaxDeadline, parser.Duration(10*time.Millisecond, 24*time.Hour)),
 		KeepAnswers:  parser.Optional(o, "keep-answers", d.KeepAnswers, parser.Duration(time.Second, 24*time.Hour)),
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"agatevalve/claimer"
 	"agatevalve/common/fault"
 	"agatevalve/loader"
 )
@@ -39,6 +40,15 @@
 	}
 }
 
+// TestClaimWritesLeaveRoom lets the sweep write as much as the claims of a day
+// ago, beside other writers, to a store of 400 a second.
+func TestClaimWritesLeaveRoom(t *testing.T) {
+	is := is.New(t)
+	writes := loader.DefaultLimits().ClaimWritesPerSecond
+	is.Equal(writes, claimer.DefaultLimits().FleetCommits)
+	is.True(2*writes <= 360)
+}
+
 func TestEntryOverridesOneLimit(t *testing.T) {
 	is := is.New(t)
 	e, err := loader.DecodeEntry("entry.json", []byte(entryText))
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -39,6 +39,10 @@
 	AnswerBytes int
 	// QueueTasks caps the tasks that wait at the entry.
 	QueueTasks int
+	// ClaimWritesPerSecond caps the transactions that the claims of all entries
+	// together write to the store. Each entry takes its part by the number of
+	// live entries, so all should have the same value.
+	ClaimWritesPerSecond int
 	// AnswerWithin is the deadline of requests that name none.
 	AnswerWithin time.Duration
 	// MaxDeadline caps how far ahead a caller's deadline may lie.
@@ -55,11 +59,14 @@
 // DefaultLimits returns the limits of an entry whose settings name none.
 func DefaultLimits() Limits {
 	return Limits{
-		HeaderBytes:  64 * kibibyte,
-		BodyBytes:    8 * mebibyte,
-		JobTasks:     2_000,
-		AnswerBytes:  16 * mebibyte,
-		QueueTasks:   20_000,
+		HeaderBytes: 64 * kibibyte,
+		BodyBytes:   8 * mebibyte,
+		JobTasks:    2_000,
+		AnswerBytes: 16 * mebibyte,
+		QueueTasks:  20_000,
+
+		ClaimWritesPerSecond: 160,
+
 		AnswerWithin: 10 * time.Second,
 		MaxDeadline:  5 * time.Minute,
 		KeepAnswers:  2 * time.Minute,
--- a/measurer/store.go
+++ b/measurer/store.go
@@ -157,6 +157,7 @@
 // pump sends the calls that are due.
 func (c *claims) pump() {
 	w := c.entry.world
+	c.core.SetEntries(len(w.entries)) // Those that are down count until their rows expire.
 	for batch := c.core.Next(w.now); batch != nil; batch = c.core.Next(w.now) {
 		c.send(batch)
 	}
