surveyor: Tell the claimers how many entries share the store

Each claimer counted itself as the only entry, so the survey would have measured the bound as if every entry had all of it.

--- a/surveyor/storing.go
+++ b/surveyor/storing.go
@@ -201,6 +201,7 @@
 				victories <- victory{time.Now(), won}
 			},
 		}))
+		claimers[i].SetEntries(entries)
 	}
 	began := time.Now()
 	var offered time.Duration
