dispatcher: Count only the wait for the claim as held by the store

A resubmission that waited for its owner, and takes the job over when the owner dies, counted that wait as the store's, and kept its pool from refusing for twice as long. Found by reading; the time now begins anew with a takeover.

--- a/dispatcher/admitting.go
+++ b/dispatcher/admitting.go
@@ -79,7 +79,7 @@
 // catchUp gives a pool time to work off a job that the store held back beside
 // new work, which would be refused for the wait of such jobs otherwise.
 func (c *Core) catchUp(j *job) {
-	held := j.began.Sub(j.arrived)
+	held := j.began.Sub(j.asked)
 	if held <= c.longestDelay(j.submission) {
 		return
 	}
--- a/dispatcher/claiming.go
+++ b/dispatcher/claiming.go
@@ -230,6 +230,7 @@
 		}
 	}
 	j.phase = phaseClaiming
+	j.asked = c.now
 	c.emit(TakeClaim{Old: old, Claim: j.claim})
 }
 
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -31,8 +31,9 @@
 	left int
 	// queued is true while the job stands in its pool's queue.
 	queued bool
-	// arrived is when it was submitted here.
-	arrived time.Time
+	// asked is when its claim was asked for, if it needs one: on submission, or
+	// on a takeover.
+	asked time.Time
 	// began is when its tasks might first be sent: for a claimed job, when the
 	// claim was won.
 	began time.Time
--- a/dispatcher/pool.go
+++ b/dispatcher/pool.go
@@ -50,7 +50,7 @@
 // order gives the job its place within its team: by the time at which it
 // would end at best.
 func (c *Core) order(j *job) {
-	j.arrived = c.now
+	j.asked = c.now
 	mean := c.times(j.submission.Plan.Route.Name).mean
 	slots := c.chooser.Capacity(c.now, c.poolOf(j).name).Slots
 	rounds := 1 + len(j.units)/max(slots, 1)
