follower: Take a newer revision from another entry when the store is silent

Cause: an entry cut off from the table service learned from messages that it was behind, turned unready after 5 s, and had no way to the revision.

It goes on in the store from what it took; when that doesn't fit the store's digest, it reads the whole anew. After a poll without an answer it rests half the interval.

Weighed: asking only when a newer revision was heard of. Idle links mention one late, so that 5 s would not hold. Ruled out: refusing all revisions up to a denied one, since one wrong mention of a high number would shut out all offers; the denied number itself is refused.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -5,7 +5,8 @@
 // from start to end. It never goes back, and keeps the last revision through an
 // outage of the store. Other processes mention the revisions that they know of;
 // a higher one is looked for at once, and until it is found the follower knows
-// that it is stale.
+// that it is stale. While the store can't be read it asks other entries, and
+// goes on in the store from what it took.
 package follower
 
 import (
@@ -30,6 +31,9 @@
 	jitter = 0.25
 	// hearAgain is the least time between two polls.
 	hearAgain = 50 * time.Millisecond
+	// missedPart is the inverse of the part of the interval that is rested after
+	// a poll that was not answered.
+	missedPart = 2
 )
 
 // Source reads the configuration; historian.Historian is one.
@@ -45,6 +49,8 @@
 // Options configure a Follower.
 type Options struct {
 	Source Source
+	// Peers are asked while the store can't be read; nil asks nobody.
+	Peers Peers
 	// Interval is the mean time between polls; 0 takes the default of 1.5 s.
 	Interval time.Duration
 	// Timeout caps one poll; 0 takes the default of 2 s.
@@ -61,9 +67,14 @@
 type Follower struct {
 	options Options
 	current atomic.Pointer[router.Table]
+	// held is what current was compiled from.
+	held atomic.Pointer[historian.Configuration]
 	// mu guards state.
 	mu    sync.Mutex
 	state state
+	// packing guards packed, which is made when it is asked for.
+	packing sync.Mutex
+	packed  historian.Snapshot
 	// heard holds at most one token, present after Hear of a new revision.
 	heard chan struct{}
 	stop  context.CancelFunc
@@ -81,6 +92,7 @@
 		done:    make(chan struct{}),
 	}
 	f.current.Store(emptyTable())
+	f.held.Store(&historian.Configuration{})
 	go func() {
 		defer close(f.done)
 		f.follow(ctx)
@@ -121,6 +133,17 @@
 // Revision returns the number of the revision in force here.
 func (f *Follower) Revision() uint64 { return f.Current().Revision() }
 
+// Snapshot returns the configuration in force here, packed for another entry.
+// It is packed once for each revision that is asked for.
+func (f *Follower) Snapshot() historian.Snapshot {
+	f.packing.Lock()
+	defer f.packing.Unlock()
+	if held := f.held.Load(); held.Revision != f.packed.Revision {
+		f.packed = historian.NewSnapshot(*held)
+	}
+	return f.packed
+}
+
 // Known returns the highest revision that is known to exist.
 func (f *Follower) Known() uint64 {
 	f.mu.Lock()
@@ -151,7 +174,8 @@
 }
 
 // Ready reports whether the entry may take requests. A new follower is ready
-// once it has read the store and has every revision that it heard of. Later it
+// once it has read the store, or has a revision from another entry, and has
+// every revision that it heard of. Later it
 // stops being ready when it could not get a newer one for Grace.
 func (f *Follower) Ready() bool {
 	f.mu.Lock()
@@ -176,14 +200,21 @@
 	var known historian.Configuration
 	for ctx.Err() == nil {
 		known = f.poll(ctx, known)
+		if !f.Reachable() {
+			known = f.ask(ctx, known)
+		}
 		f.rest(ctx)
 	}
 }
 
 // rest waits for the next poll.
 func (f *Follower) rest(ctx context.Context) {
+	interval := f.options.Interval
+	if !f.Reachable() {
+		interval /= missedPart
+	}
 	spread := 1 + jitter*(2*f.options.Random.Float64()-1)
-	regular := time.NewTimer(time.Duration(spread * float64(f.options.Interval)))
+	regular := time.NewTimer(time.Duration(spread * float64(interval)))
 	defer regular.Stop()
 	pause := time.NewTimer(hearAgain)
 	defer pause.Stop()
@@ -217,7 +248,7 @@
 			"revision", known.Revision, "head", head.Revision)
 		return known
 	}
-	next, err := f.options.Source.Advance(ctx, known, head)
+	next, err := f.advance(ctx, known, head)
 	if err != nil {
 		f.miss(ctx, head.Revision, err)
 		return known
@@ -227,21 +258,33 @@
 		f.refuse(head.Revision, err)
 		return known
 	}
-	f.swap(table)
+	f.swap(table, next)
 	f.options.Log.Info("follower: A revision is in force.", "revision", head.Revision, "before", known.Revision)
 	return next
 }
 
+// advance reads the revision at the head. What came from another entry may
+// differ from the store, so that a revision which does not fit what is known is
+// read once more from nothing.
+func (f *Follower) advance(ctx context.Context, known historian.Configuration, head historian.Head) (historian.Configuration, error) {
+	next, err := f.options.Source.Advance(ctx, known, head)
+	if err == nil || known.Revision == 0 || silent(ctx, err) {
+		return next, err
+	}
+	return f.options.Source.Advance(ctx, historian.Configuration{}, head)
+}
+
 func (f *Follower) see(head, before uint64) sight {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.state.see(head, before, f.options.Now())
 }
 
-// swap brings a table into force.
-func (f *Follower) swap(table *router.Table) {
+// swap brings a table into force, with what it was compiled from.
+func (f *Follower) swap(table *router.Table, from historian.Configuration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.held.Store(&from)
 	f.current.Store(table)
 	f.state.load(table.Revision())
 }
@@ -249,8 +292,7 @@
 // miss notes that the store could not be read, or that it holds a revision that
 // can't be read.
 func (f *Follower) miss(ctx context.Context, revision uint64, err error) {
-	kind := fault.KindOf(err)
-	if kind != fault.Unavailable && kind != fault.Uncertain && ctx.Err() == nil {
+	if !silent(ctx, err) {
 		f.refuse(revision, err)
 		return
 	}
@@ -263,6 +305,12 @@
 	}
 }
 
+// silent tells a store that did not answer from an answer that can't be used.
+func silent(ctx context.Context, err error) bool {
+	kind := fault.KindOf(err)
+	return kind == fault.Unavailable || kind == fault.Uncertain || ctx.Err() != nil
+}
+
 // refuse notes that a revision can't be brought into force by this version.
 func (f *Follower) refuse(revision uint64, err error) {
 	f.mu.Lock()
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -23,37 +23,54 @@
 
 // source serves the revision head, with one pool that names it.
 type source struct {
-	mu    sync.Mutex
-	head  uint64
-	down  bool
+	mu   sync.Mutex
+	head uint64
+	down bool
+	// hung makes the source wait until it is given up.
+	hung  bool
 	bad   uint64
 	polls int
+	// from is what the last Advance began with.
+	from uint64
 }
 
-func (s *source) Head(context.Context) (historian.Head, error) {
+func (s *source) Head(ctx context.Context) (historian.Head, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.polls++
+	if s.hung {
+		s.mu.Unlock()
+		<-ctx.Done()
+		s.mu.Lock()
+		return historian.Head{}, ctx.Err()
+	}
 	if s.down {
 		return historian.Head{}, fault.New(fault.Unavailable, "retry later", "down")
 	}
 	return historian.Head{Revision: s.head}, nil
 }
 
-func (s *source) Advance(_ context.Context, _ historian.Configuration, head historian.Head) (historian.Configuration, error) {
+func (s *source) Advance(_ context.Context, known historian.Configuration, head historian.Head) (historian.Configuration, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
 		return historian.Configuration{}, fault.New(fault.Unavailable, "retry later", "down")
 	}
-	c := historian.Configuration{Revision: head.Revision}
-	c.Pools = []router.Pool{{Name: "pool-" + strconv.FormatUint(head.Revision, 10)}}
+	s.from = known.Revision
+	c := contentOf(head.Revision)
 	if head.Revision == s.bad {
 		c.Pools[0].QueueLimit = -1
 	}
 	return c, nil
 }
 
+// contentOf returns the configuration of a revision.
+func contentOf(revision uint64) historian.Configuration {
+	return historian.Configuration{
+		Revision: revision, Pools: []router.Pool{{Name: "pool-" + strconv.FormatUint(revision, 10)}},
+	}
+}
+
 // set changes the source under its lock.
 func (s *source) set(change func()) {
 	s.mu.Lock()
--- a/follower/state.go
+++ b/follower/state.go
@@ -16,7 +16,7 @@
 	denied uint64
 	// behind is when known began to exceed revision; zero while it doesn't.
 	behind time.Time
-	// loaded is true once the store was read and nothing newer was known.
+	// loaded is true once there was a revision and nothing newer was known.
 	loaded bool
 	// reachable tells whether the last poll was answered.
 	reachable bool
@@ -80,9 +80,11 @@
 	return upToDate
 }
 
-// load notes that a revision is in force.
+// load notes that a revision is in force. One from another entry may be the
+// first word of it.
 func (s *state) load(revision uint64) {
 	s.revision = revision
+	s.known = max(s.known, revision)
 	s.settle()
 }
 
