--- a/greeter/greeter.go
+++ b/greeter/greeter.go
@@ -1,6 +1,7 @@
 // Package greeter is the internal side of an entry: agents announce themselves
 // to it, other entries wait for the answers of jobs held here, and it asks
-// other entries for theirs.
+// other entries for theirs. Entries that can't read the store get the
+// configuration from each other.
 package greeter
 
 import (
@@ -16,6 +17,7 @@
 	"agatevalve/common/task"
 	"agatevalve/dispatcher"
 	"agatevalve/encoder"
+	"agatevalve/historian"
 	"agatevalve/waiter"
 	v1 "agatevalve/wire/agatevalvev1"
 	"agatevalve/wire/agatevalvev1/agatevalvev1connect"
@@ -45,6 +47,8 @@
 	Revision func() uint64
 	// Hear takes the revision that another process knows of.
 	Hear func(revision uint64)
+	// Snapshot returns the configuration in force, for another entry.
+	Snapshot func() historian.Snapshot
 	// Meet takes the announcement of an agent. It reports false when the entry
 	// is too busy.
 	Meet func(ctx context.Context, announcement dispatcher.Announcement) bool
@@ -61,6 +65,7 @@
 	announced metrics.Counter
 	rejected  metrics.Counter
 	fetched   metrics.Counter
+	given     metrics.Counter
 }
 
 var _ agatevalvev1connect.EntryServiceHandler = (*Greeter)(nil)
@@ -78,6 +83,7 @@
 		announced: metrics.GetOrRegisterCounter("announcements", o.Metrics),
 		rejected:  metrics.GetOrRegisterCounter("internal-calls-rejected", o.Metrics),
 		fetched:   metrics.GetOrRegisterCounter("answers-fetched", o.Metrics),
+		given:     metrics.GetOrRegisterCounter("configurations-given", o.Metrics),
 	}
 }
 
@@ -155,6 +161,20 @@
 	return connect.NewResponse(status), nil
 }
 
+// Configuration returns the configuration in force here, if it is newer than
+// the asker's. An asker that is ahead tells that this entry is behind.
+func (g *Greeter) Configuration(_ context.Context, request *connect.Request[v1.ConfigurationRequest]) (*connect.Response[v1.ConfigurationResponse], error) {
+	have, own := request.Msg.GetRevision(), g.o.Revision()
+	if have >= own {
+		if have > own {
+			g.o.Hear(have)
+		}
+		return connect.NewResponse(&v1.ConfigurationResponse{Revision: own}), nil
+	}
+	g.given.Inc(1)
+	return connect.NewResponse(snapshotToWire(g.o.Snapshot())), nil
+}
+
 // Agents returns the latest announcements that have not expired, by name.
 func (g *Greeter) Agents() []dispatcher.Announcement { return g.agents.live(time.Now()) }
 
--- a/greeter/greeter_test.go
+++ b/greeter/greeter_test.go
@@ -17,6 +17,7 @@
 	"agatevalve/dispatcher"
 	"agatevalve/encoder"
 	"agatevalve/greeter"
+	"agatevalve/historian"
 	"agatevalve/waiter"
 	v1 "agatevalve/wire/agatevalvev1"
 	"agatevalve/wire/agatevalvev1/agatevalvev1connect"
@@ -40,8 +41,10 @@
 	waiters *waiter.Registry
 	heard   chan uint64
 	met     chan dispatcher.Announcement
-	address netip.AddrPort
-	client  agatevalvev1connect.EntryServiceClient
+	// snapshot is of the revision in force.
+	snapshot historian.Snapshot
+	address  netip.AddrPort
+	client   agatevalvev1connect.EntryServiceClient
 }
 
 func newOwner(t *testing.T) *owner {
@@ -58,6 +61,7 @@
 		Waiters:  o.waiters,
 		Revision: func() uint64 { return 5 },
 		Hear:     func(revision uint64) { o.heard <- revision },
+		Snapshot: func() historian.Snapshot { return o.snapshot },
 		Meet: func(_ context.Context, a dispatcher.Announcement) bool {
 			o.met <- a
 			return true
--- a/wire/agatevalvev1/agatevalvev1connect/agatevalve.connect.go
+++ b/wire/agatevalvev1/agatevalvev1connect/agatevalve.connect.go
@@ -50,6 +50,9 @@
 	EntryServiceFetchProcedure = "/agatevalve.v1.EntryService/Fetch"
 	// EntryServiceStatusProcedure is the fully-qualified name of the EntryService's Status RPC.
 	EntryServiceStatusProcedure = "/agatevalve.v1.EntryService/Status"
+	// EntryServiceConfigurationProcedure is the fully-qualified name of the EntryService's
+	// Configuration RPC.
+	EntryServiceConfigurationProcedure = "/agatevalve.v1.EntryService/Configuration"
 )
 
 // AgentServiceClient is a client for the agatevalve.v1.AgentService service.
@@ -205,6 +208,7 @@
 	Announce(context.Context, *connect.Request[agatevalvev1.AnnounceRequest]) (*connect.Response[agatevalvev1.AnnounceResponse], error)
 	Fetch(context.Context, *connect.Request[agatevalvev1.FetchRequest]) (*connect.Response[agatevalvev1.FetchResponse], error)
 	Status(context.Context, *connect.Request[agatevalvev1.StatusRequest]) (*connect.Response[agatevalvev1.StatusResponse], error)
+	Configuration(context.Context, *connect.Request[agatevalvev1.ConfigurationRequest]) (*connect.Response[agatevalvev1.ConfigurationResponse], error)
 }
 
 // NewEntryServiceClient constructs a client for the agatevalve.v1.EntryService service. By default,
@@ -236,14 +240,21 @@
 			connect.WithSchema(entryServiceMethods.ByName("Status")),
 			connect.WithClientOptions(opts...),
 		),
+		configuration: connect.NewClient[agatevalvev1.ConfigurationRequest, agatevalvev1.ConfigurationResponse](
+			httpClient,
+			baseURL+EntryServiceConfigurationProcedure,
+			connect.WithSchema(entryServiceMethods.ByName("Configuration")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // entryServiceClient implements EntryServiceClient.
 type entryServiceClient struct {
-	announce *connect.Client[agatevalvev1.AnnounceRequest, agatevalvev1.AnnounceResponse]
-	fetch    *connect.Client[agatevalvev1.FetchRequest, agatevalvev1.FetchResponse]
-	status   *connect.Client[agatevalvev1.StatusRequest, agatevalvev1.StatusResponse]
+	announce      *connect.Client[agatevalvev1.AnnounceRequest, agatevalvev1.AnnounceResponse]
+	fetch         *connect.Client[agatevalvev1.FetchRequest, agatevalvev1.FetchResponse]
+	status        *connect.Client[agatevalvev1.StatusRequest, agatevalvev1.StatusResponse]
+	configuration *connect.Client[agatevalvev1.ConfigurationRequest, agatevalvev1.ConfigurationResponse]
 }
 
 // Announce calls agatevalve.v1.EntryService.Announce.
@@ -261,11 +272,17 @@
 	return c.status.CallUnary(ctx, req)
 }
 
+// Configuration calls agatevalve.v1.EntryService.Configuration.
+func (c *entryServiceClient) Configuration(ctx context.Context, req *connect.Request[agatevalvev1.ConfigurationRequest]) (*connect.Response[agatevalvev1.ConfigurationResponse], error) {
+	return c.configuration.CallUnary(ctx, req)
+}
+
 // EntryServiceHandler is an implementation of the agatevalve.v1.EntryService service.
 type EntryServiceHandler interface {
 	Announce(context.Context, *connect.Request[agatevalvev1.AnnounceRequest]) (*connect.Response[agatevalvev1.AnnounceResponse], error)
 	Fetch(context.Context, *connect.Request[agatevalvev1.FetchRequest]) (*connect.Response[agatevalvev1.FetchResponse], error)
 	Status(context.Context, *connect.Request[agatevalvev1.StatusRequest]) (*connect.Response[agatevalvev1.StatusResponse], error)
+	Configuration(context.Context, *connect.Request[agatevalvev1.ConfigurationRequest]) (*connect.Response[agatevalvev1.ConfigurationResponse], error)
 }
 
 // NewEntryServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -293,6 +310,12 @@
 		connect.WithSchema(entryServiceMethods.ByName("Status")),
 		connect.WithHandlerOptions(opts...),
 	)
+	entryServiceConfigurationHandler := connect.NewUnaryHandler(
+		EntryServiceConfigurationProcedure,
+		svc.Configuration,
+		connect.WithSchema(entryServiceMethods.ByName("Configuration")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/agatevalve.v1.EntryService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case EntryServiceAnnounceProcedure:
@@ -301,6 +324,8 @@
 			entryServiceFetchHandler.ServeHTTP(w, r)
 		case EntryServiceStatusProcedure:
 			entryServiceStatusHandler.ServeHTTP(w, r)
+		case EntryServiceConfigurationProcedure:
+			entryServiceConfigurationHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -321,3 +346,7 @@
 func (UnimplementedEntryServiceHandler) Status(context.Context, *connect.Request[agatevalvev1.StatusRequest]) (*connect.Response[agatevalvev1.StatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("agatevalve.v1.EntryService.Status is not implemented"))
 }
+
+func (UnimplementedEntryServiceHandler) Configuration(context.Context, *connect.Request[agatevalvev1.ConfigurationRequest]) (*connect.Response[agatevalvev1.ConfigurationResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("agatevalve.v1.EntryService.Configuration is not implemented"))
+}
