--- a/greeter/peers_test.go
+++ b/greeter/peers_test.go
@@ -11,6 +11,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"agatevalve/common/task"
 	"agatevalve/dispatcher"
@@ -23,8 +24,9 @@
 // largestAnswer caps the answer of another entry here.
 const largestAnswer = 4 << 10
 
-// askPeers asks a closed address, the owner, and the asker itself, which it must not.
-func askPeers(t *testing.T, o *owner, have uint64, log *bytes.Buffer) []follower.Offer {
+// newPeers returns peers at a closed address, at the owner's, and the asker
+// itself, which must not be asked.
+func newPeers(t *testing.T, o *owner, log *bytes.Buffer, registry metrics.Registry) *greeter.Peers {
 	t.Helper()
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -34,7 +36,7 @@
 		t.Fatal(err)
 	}
 	asker := task.Process{Name: "entry-2", Incarnation: 8}
-	p := greeter.NewPeers(greeter.PeersOptions{
+	return greeter.NewPeers(greeter.PeersOptions{
 		Self: asker,
 		Entries: func() []dispatcher.Peer {
 			return []dispatcher.Peer{
@@ -45,7 +47,13 @@
 		},
 		AnswerBytes: largestAnswer,
 		Log:         slog.New(slog.NewTextHandler(log, nil)),
+		Metrics:     registry,
 	})
+}
+
+func askPeers(t *testing.T, o *owner, have uint64, log *bytes.Buffer) []follower.Offer {
+	t.Helper()
+	p := newPeers(t, o, log, nil)
 	return slices.Collect(p.Ask(context.Background(), func() uint64 { return have }))
 }
 
@@ -74,3 +82,22 @@
 	is.True(strings.Contains(log.String(), "Got no configuration from another entry"))
 	is.True(strings.Contains(log.String(), "resource_exhausted"))
 }
+
+func TestSilentPeersAreAskedLast(t *testing.T) {
+	is := is.New(t)
+	o := newOwner(t)
+	o.snapshot = historian.NewSnapshot(historian.Configuration{Revision: 5})
+	registry := metrics.NewRegistry()
+	p := newPeers(t, o, &bytes.Buffer{}, registry)
+	have := func() uint64 { return 4 }
+	is.Equal(len(slices.Collect(p.Ask(context.Background(), have))), 1)
+	asked := metrics.GetOrRegisterCounter("peers-asked", registry)
+	before := asked.Count()
+	const rounds = 16
+	for range rounds {
+		for range p.Ask(context.Background(), have) {
+			break
+		}
+	}
+	is.Equal(asked.Count()-before, int64(rounds)) // The first one asked had an offer.
+}
