entry: Follow the configuration through other entries without the store

An entry cut off from the table service turned unready for a revision that its neighbours had.

Change: the entry wires greeter.Peers over the registrar's last list, and serves its own configuration.

Test: two entries in one process, without agents; one loses its way to the store, is at the next revision, and goes on in the store when the way is back. Without the line that wires Peers it waited in vain for 60 s; with it, it passed in 2.5 s under the race detector.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -186,6 +186,7 @@
 	e.loop = newLoop(core, e.waiters, e.registry)
 	e.follower = follower.New(follower.Options{
 		Source: historian.New(e.table),
+		Peers:  greeter.NewPeers(greeter.PeersOptions{Entries: e.entries, Self: e.self, Log: e.o.Log, Metrics: e.registry}),
 		Log:    e.o.Log,
 	})
 	e.linker = linker.New(linker.Options{
@@ -218,6 +219,7 @@
 		Waiters:  e.waiters,
 		Revision: e.follower.Revision,
 		Hear:     e.follower.Hear,
+		Snapshot: e.follower.Snapshot,
 		Meet:     e.linker.Meet,
 		Status:   e.status,
 		Log:      e.o.Log,
@@ -279,6 +281,21 @@
 	e.registrar.SetRevision(e.follower.Revision())
 }
 
+// entries returns the entries of the list that was read last, or none before.
+func (e *Entry) entries() []dispatcher.Peer {
+	select {
+	case <-e.registered:
+	default:
+		return nil
+	}
+	members, _ := e.registrar.Members()
+	peers := make([]dispatcher.Peer, 0, len(members))
+	for _, m := range members {
+		peers = append(peers, dispatcher.Peer{Process: m.Process, Address: m.Address})
+	}
+	return peers
+}
+
 func claimLimits(settings loader.Limits) claimer.Limits {
 	limits := claimer.DefaultLimits()
 	limits.FleetCommits = settings.ClaimWritesPerSecond
