--- a/surveyor/estimator/estimator_test.go
+++ b/surveyor/estimator/estimator_test.go
@@ -102,10 +102,11 @@
 		t.Fatalf("no row %q in table %s", what, table)
 		return estimator.Row{}
 	}
-	is.Equal(find("entry-control", "announcements").Ships, 275*(1/60.0))                // 1,100 x 4 / 16 every minute
-	is.Equal(find("agent-control", "list of the entries").Ships, 26*(1/10.0))           // 10 + 16 every 10 s
-	is.Equal(find("store-reads", "lists by agents").Ships, 110.0)                       // 1,100 every 10 s
-	is.Equal(find("store-writes", "jobs of 100: rows").Ships, 640.0+26)                 // claims and index rows
+	is.Equal(find("entry-control", "announcements").Ships, 275*(1/60.0))      // 1,100 x 4 / 16 every minute
+	is.Equal(find("agent-control", "list of the entries").Ships, 26*(1/10.0)) // 10 + 16 every 10 s
+	is.Equal(find("store-reads", "lists by agents").Ships, 110.0)             // 1,100 every 10 s
+	is.Equal(find("store-writes", "jobs of 100: rows").Ships, 640.0+26)       // claims and index rows
+	is.Equal(find("store-writes", "**jobs of 100: writes with that sweep**").Ships, 2*26+find("store-writes", "jobs of 100: renewals").Ships+find("store-writes", "jobs of 100: publishes").Ships)
 	is.Equal(find("entry-data", "claims, jobs of 10").Ships, 30*400.0)                  // 10 + 2 x 10 agents, 400 jobs
 	is.True(math.Abs(find("entry-data", "claims, jobs of 1300").Ships-876.923) < 0.001) // 285 x 4,000 / 1,300
 	is.True(find("entry-control", "**control messages**").Ships > 0)
--- a/surveyor/estimator/store.go
+++ b/surveyor/estimator/store.go
@@ -23,7 +23,9 @@
 func (e *Estimator) storeWrites() Table {
 	t := e.target
 	entries := float64(t.Entries)
-	var rows []Row
+	rows := []Row{e.row("claim transactions that all entries share", writesUnit, "`claim-writes-per-second` of the settings, by default; after a pause each entry may commit 3 more", func(d Design) float64 {
+		return float64(d.ClaimWrites)
+	})}
 	for _, tasks := range t.JobTasks {
 		claims := float64(t.StartsPerSecond) / float64(tasks)
 		name := fmt.Sprintf("jobs of %d: ", tasks)
@@ -36,7 +38,7 @@
 		sweep := e.row(name+"sweep of as many claims a day later", writesUnit, "one transaction for each claim transaction", func(Design) float64 { return transactions })
 		sweep.How += "; it yields to nothing, so it counts when both days peak together"
 		rows = append(rows, writes...)
-		rows = append(rows, sweep,
+		rows = append(rows, sweep, total(name+"writes with that sweep", e.limits.Writes, append(writes[:len(writes)-1:len(writes)-1], sweep)),
 			e.row(name+"rows", "rows/s", "one for each claim, one index row for each transaction", func(Design) float64 { return claims + transactions }),
 			e.row(name+"row bytes", "MB/s", "claim-row-bytes at the claim's agents x claims", func(d Design) float64 {
 				return e.line("claim-row-bytes").At(t.claimAgents(d, tasks)) * claims / million
--- a/surveyor/estimator/target.go
+++ b/surveyor/estimator/target.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"agatevalve/announcer"
+	"agatevalve/claimer"
 	"agatevalve/linker"
 )
 
@@ -103,6 +104,8 @@
 	// ClaimAgents is how many agents the claim of a small job names. A larger
 	// one names two for each task.
 	ClaimAgents int
+	// ClaimWrites bounds the claim transactions a second of all entries.
+	ClaimWrites int
 }
 
 // Present returns the design that ships. The mean of the keeper's pause is its
@@ -120,6 +123,7 @@
 		Ping:      linker.DefaultIdlePing,
 
 		ClaimAgents: 16,
+		ClaimWrites: claimer.DefaultLimits().FleetCommits,
 	}
 }
 
@@ -135,6 +139,7 @@
 		Poll:        1500 * time.Millisecond,
 		Ping:        linker.DefaultIdlePing,
 		ClaimAgents: 16,
+		ClaimWrites: claimer.DefaultLimits().FleetCommits,
 	}
 }
 
