dispatcher: Leave a job that nobody waits for to its owner

A keyed job whose caller went away goes on at its entry. When its claim turned out to be held by another entry, it asked that one, and took the job over as soon as it was proved not to have run, unknown or lost. But the owner may have told a later caller of its own that nothing ran: the job then ran for nobody, after a not-run.

Now such a job is given up when the answer of the owner comes. Its caller may send it again, which starts a takeover that somebody waits for.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -193,9 +193,13 @@
 	case ClaimFailed:
 		c.claimFailed(e)
 	case OwnerAnswered:
-		c.ownerAnswered(e)
+		if !c.abandoned(e.Job) {
+			c.ownerAnswered(e)
+		}
 	case OwnerLost:
-		c.ownerLost(e.Job)
+		if !c.abandoned(e.Job) {
+			c.ownerLost(e.Job)
+		}
 	case Fenced:
 		c.fenced(e)
 	case FenceFailed:
