dispatcher: Skew the clocks of entries in the fuzz

The fuzz skewed the agents' clocks only. Absolute on the wire, and so unchanged between two clocks, are the deadlines of starts, settles, fences, asks and claims, the Agatevalve-Deadline of a caller, and the expiry of an announcement (by the agent's clock). Relative to a clock are the deadline that an entry gives a caller who names none, the claimer's check of a claim's deadline, and all timers of the core. Every other caller names its deadline; one that has passed at the entry is refused before the core, as by receiver. linker's pings go by monotonic time and have no skew.

--- a/dispatcher/fuzz_test.go
+++ b/dispatcher/fuzz_test.go
@@ -249,6 +249,7 @@
 	f.w.slowUntil = time.Time{}
 	clear(f.w.deaf)
 	for _, n := range f.w.entries {
+		f.w.skewEntry(n, 0)
 		for _, h := range f.w.agents {
 			f.endSilence(n, h)
 		}
