entry: Silence links and pair faults on separate processes

Silent connections from an entry to an agent or to another entry, and faults in pairs, were run in one process or in the fuzz only. Each process publishes the address that it listens on, so no relay could stand between two.

--- a/entry/processes_test.go
+++ b/entry/processes_test.go
@@ -192,10 +192,13 @@
 }
 
 // slowJob has tasks that take long enough to be met in the middle.
-func slowJob() string {
+func slowJob() string { return jobTaking("100ms") }
+
+// jobTaking has tasks that each take a service time at a minion of speed 1.
+func jobTaking(service string) string {
 	var list []string
 	for i := range tasks {
-		list = append(list, fmt.Sprintf(`{"header":{"%s":["100ms"]},"body":"slow %d"}`, emulator.ServiceHeader, i))
+		list = append(list, fmt.Sprintf(`{"header":{"%s":["%s"]},"body":"slow %d"}`, emulator.ServiceHeader, service, i))
 	}
 	return `{"tasks":[` + strings.Join(list, ",") + `]}`
 }
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -12,8 +12,10 @@
 type relay struct {
 	listener net.Listener
 	target   string
-	// mu guards passages and conns.
-	mu       sync.Mutex
+	// mu guards muted, passages and conns.
+	mu sync.Mutex
+	// muted makes new connections silent too.
+	muted    bool
 	passages []*passage
 	conns    []net.Conn
 	copies   sync.WaitGroup
@@ -47,6 +49,15 @@
 	return len(r.passages)
 }
 
+// mute swallows all that present and later connections carry, and returns the
+// number of the present ones.
+func (r *relay) mute() int {
+	r.mu.Lock()
+	r.muted = true
+	r.mu.Unlock()
+	return r.silence()
+}
+
 func (r *relay) accept() {
 	for {
 		near, err := r.listener.Accept()
@@ -60,6 +71,7 @@
 		}
 		p := &passage{}
 		r.mu.Lock()
+		p.silent.Store(r.muted)
 		r.passages = append(r.passages, p)
 		r.conns = append(r.conns, near, far)
 		r.mu.Unlock()
--- a/entry/system_test.go
+++ b/entry/system_test.go
@@ -94,11 +94,15 @@
 }
 
 // startSystem builds both binaries and starts all processes of the examples.
-func startSystem(t *testing.T) *system {
+// What prepares it runs once the settings are written, and may edit them.
+func startSystem(t *testing.T, prepare ...func(*system)) *system {
 	t.Helper()
 	s := &system{t: t, directory: t.TempDir(), addresses: make(map[string]string)}
 	s.build()
 	s.copyExamples()
+	for _, p := range prepare {
+		p(s)
+	}
 	for i := range 3 {
 		s.startMinion(s.addresses[fmt.Sprintf("127.0.0.1:90%d1", i+1)], i)
 	}
