attendant: Serve health, readiness and metrics to operators

Agents kept counters that nobody could read. With the new setting operators an agent serves /healthz, /readyz and /metrics as an entry does; without it nothing changes. The handler of the probes moves from entry to exposer, and the listener to a package of its own, so that both processes have them once.

settings check told kinds apart by the field operators, which an agent has now too; callers and internal are left as marks of an entry. The scripts failed on that before, and the page's metrics of an agent are now compared with what an agent serves, as those of an entry were.

--- a/attendant/attendant.go
+++ b/attendant/attendant.go
@@ -21,6 +21,7 @@
 	"agatevalve/common/ring"
 	"agatevalve/common/task"
 	"agatevalve/dispatcher"
+	"agatevalve/listener"
 	"agatevalve/loader"
 	"agatevalve/runner"
 	"agatevalve/tabler"
@@ -58,12 +59,14 @@
 
 // Attendant is a running agent.
 type Attendant struct {
-	o         Options
-	self      task.Process
-	address   netip.AddrPort
-	counters  counters
-	minion    *Minion
-	server    *http.Server
+	o        Options
+	self     task.Process
+	address  netip.AddrPort
+	counters counters
+	minion   *Minion
+	server   *http.Server
+	// ops is the operators' listener, or nil.
+	ops       *listener.Listener
 	announcer *announcer.Announcer
 	duties    sync.WaitGroup
 	// ctx ends when the attendant closes; it bounds the calls to the minion.
@@ -93,13 +96,16 @@
 func New(o Options) (*Attendant, error) {
 	o = o.withDefaults()
 	var config net.ListenConfig
-	listener, err := config.Listen(context.Background(), "tcp", o.Settings.Listen.String())
+	socket, err := config.Listen(context.Background(), "tcp", o.Settings.Listen.String())
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Invalid, "choose a free address in the setting listen",
 			"can't listen on %s", o.Settings.Listen)
 	}
-	a := newAttendant(o, listener.Addr().(*net.TCPAddr).AddrPort())
-	a.start(listener)
+	a := newAttendant(o, socket.Addr().(*net.TCPAddr).AddrPort())
+	if err := a.openOperators(); err != nil {
+		return nil, errors.Join(err, socket.Close())
+	}
+	a.start(socket)
 	return a, nil
 }
 
@@ -128,6 +134,7 @@
 	a.inputs.Close()
 	a.shutdown(ctx)
 	a.cancel()
+	left = errors.Join(left, a.closeOperators(ctx))
 	a.duties.Wait()
 	return left
 }
@@ -152,7 +159,7 @@
 
 // start begins all duties: one owns the core, one serves entries, two announce,
 // and one for each slot calls the minion.
-func (a *Attendant) start(listener net.Listener) {
+func (a *Attendant) start(socket net.Listener) {
 	a.server = a.newServer()
 	a.announcer = announcer.New(announcer.Options{
 		Self:    a.announcement(),
@@ -168,10 +175,11 @@
 		a.duties.Go(a.callMinion)
 	}
 	a.duties.Go(func() {
-		if err := a.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := a.server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
 			a.o.Logger.Error("attendant: Listener failed", "reason", err)
 		}
 	})
+	a.serveOperators()
 	a.o.Logger.Info("attendant: Agent is up", "agent", a.self.Name, "incarnation", a.self.Incarnation,
 		"address", a.address, "minion", a.o.Settings.Minion)
 }
--- a/commands/settings.go
+++ b/commands/settings.go
@@ -74,7 +74,7 @@
 		return platformSettings
 	}
 	marks := []struct{ field, kind string }{
-		{"callers", entrySettings}, {"operators", entrySettings}, {"internal", entrySettings},
+		{"callers", entrySettings}, {"internal", entrySettings},
 		{"minion", agentSettings}, {"pools", agentSettings}, {"slots", agentSettings},
 		{"write-takes", platformSettings}, {"writes-per-second", platformSettings}, {"reads-per-second", platformSettings},
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	"agatevalve/greeter"
 	"agatevalve/historian"
 	"agatevalve/linker"
+	"agatevalve/listener"
 	"agatevalve/loader"
 	"agatevalve/receiver"
 	"agatevalve/registrar"
@@ -79,9 +80,9 @@
 	greeter   *greeter.Greeter
 	loop      *loop
 
-	callers  *server
-	ops      *server
-	internal *server
+	callers  *listener.Listener
+	ops      *listener.Listener
+	internal *listener.Listener
 }
 
 // New starts an entry. It returns once all listeners are open; the entry is
@@ -106,13 +107,13 @@
 func (e *Entry) Self() task.Process { return e.self }
 
 // Callers returns the address of the callers' listener.
-func (e *Entry) Callers() netip.AddrPort { return e.callers.address }
+func (e *Entry) Callers() netip.AddrPort { return e.callers.Address() }
 
 // Operators returns the address of the operators' listener.
-func (e *Entry) Operators() netip.AddrPort { return e.ops.address }
+func (e *Entry) Operators() netip.AddrPort { return e.ops.Address() }
 
 // Internal returns the address of the listener for agents and other entries.
-func (e *Entry) Internal() netip.AddrPort { return e.internal.address }
+func (e *Entry) Internal() netip.AddrPort { return e.internal.Address() }
 
 // Ready reports whether the newest known configuration is in force here and
 // the entry is not stopping.
@@ -126,16 +127,16 @@
 	e.o.Log.Info("entry: Stops", "notice", e.o.Settings.Limits.StopNotice)
 	pause(ctx, e.o.Settings.Limits.StopNotice)
 	e.loop.events.Put(ctx, dispatcher.Drained{})
-	err := e.callers.stop(ctx)
+	err := e.callers.Stop(ctx)
 	select {
 	case <-e.loop.idle:
 	case <-ctx.Done():
 		err = errors.Join(err, fault.Wrap(ctx.Err(), fault.Expired, "raise stop-within", "tasks still ran"))
 	}
 	e.registrar.Close()
-	err = errors.Join(err, e.internal.stop(ctx))
+	err = errors.Join(err, e.internal.Stop(ctx))
 	e.unwire()
-	err = errors.Join(err, e.ops.stop(ctx))
+	err = errors.Join(err, e.ops.Stop(ctx))
 	e.o.Log.Info("entry: Stopped", "error", err)
 	return err
 }
@@ -146,18 +147,18 @@
 	listeners := []struct {
 		name   string
 		at     netip.AddrPort
-		server **server
+		opened **listener.Listener
 	}{
 		{"callers", e.o.Settings.Callers, &e.callers},
 		{"operators", e.o.Settings.Operators, &e.ops},
 		{"internal calls", e.o.Settings.Internal, &e.internal},
 	}
 	for i, l := range listeners {
-		if *l.server, err = open(l.name, l.at); err == nil {
+		if *l.opened, err = listener.Open(l.name, l.at); err == nil {
 			continue
 		}
-		for _, opened := range listeners[:i] {
-			err = errors.Join(err, (*opened.server).listener.Close())
+		for _, other := range listeners[:i] {
+			err = errors.Join(err, (*other.opened).Close())
 		}
 		return err
 	}
@@ -234,9 +235,9 @@
 		Log:      e.o.Log,
 		Metrics:  e.registry,
 	})
-	e.internal.serve(e.greeter.Handler(), otherHeaderBytes, e.o.Log)
-	e.callers.serve(callers, limits.HeaderBytes+headerSlack, e.o.Log)
-	e.ops.serve(e.operators(), otherHeaderBytes, e.o.Log)
+	e.internal.Serve(e.greeter.Handler(), otherHeaderBytes, e.o.Log)
+	e.callers.Serve(callers, limits.HeaderBytes+headerSlack, e.o.Log)
+	e.ops.Serve(e.operators(), otherHeaderBytes, e.o.Log)
 	e.registrar = registrar.New(registrar.Options{
 		Table:    e.table,
 		Member:   registrar.Member{Process: e.self, Address: e.Internal(), Zone: e.o.Settings.Zone},
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -117,12 +117,13 @@
 func agent(o *parser.Object) Agent {
 	name := parser.Name(longestName)
 	d := DefaultAgent()
-	return Agent{
+	a := Agent{
 		Name:        parser.Required(o, "name", name),
 		Zone:        parser.Required(o, "zone", name),
 		Rack:        parser.Optional(o, "rack", d.Rack, parser.Text(longestName)),
 		Worker:      parser.Optional(o, "worker", d.Worker, parser.Text(longestName)),
 		Listen:      parser.Required(o, "listen", parser.Reachable),
+		Operators:   parser.Optional(o, "operators", d.Operators, parser.AddressOrNone),
 		Store:       parser.Required(o, "store", parser.Reachable),
 		Minion:      parser.Required(o, "minion", parser.Reachable),
 		Pools:       parser.Required(o, "pools", poolNames),
@@ -131,6 +132,10 @@
 		ResultBytes: parser.Optional(o, "result-bytes", d.ResultBytes, parser.Int(kibibyte, 16*gibibyte)),
 		StopWithin:  parser.Optional(o, "stop-within", d.StopWithin, parser.Duration(time.Second, time.Hour)),
 	}
+	if a.Operators.IsValid() && a.Operators.Port() == a.Listen.Port() {
+		o.Refuse("operators", "give each listener a port of its own", "has the port of listen")
+	}
+	return a
 }
 
 func poolNames(v *parser.Value) []string {
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -85,6 +85,9 @@
 	Worker string
 	// Listen is the agent's own listener. Its address is announced.
 	Listen netip.AddrPort
+	// Operators is the listener for health, readiness and metrics; the zero
+	// address means none.
+	Operators netip.AddrPort
 	// Store is the address of the platform's table service.
 	Store netip.AddrPort
 	// Minion is the HTTP server beside the agent.
--- a/parser/reader.go
+++ b/parser/reader.go
@@ -151,6 +151,14 @@
 	return address
 }
 
+// AddressOrNone reads an address, or the zero one from an empty text.
+func AddressOrNone(v *Value) netip.AddrPort {
+	if v.node.kind == textKind && v.node.text == "" {
+		return netip.AddrPort{}
+	}
+	return Address(v)
+}
+
 // Reachable reads an address that other machines can call: not 0.0.0.0 or ::.
 func Reachable(v *Value) netip.AddrPort {
 	address := Address(v)
--- a/testscripts/metrics_test.go
+++ b/testscripts/metrics_test.go
@@ -20,10 +20,10 @@
 // documentedMetrics compares the metrics that the last command wrote with the
 // table in docs/operations.md.
 func documentedMetrics(ts *testscript.TestScript, neg bool, args []string) {
-	if neg || len(args) != 0 {
-		ts.Fatalf("usage: documented-metrics")
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: documented-metrics entry|agent")
 	}
-	shown := shownMetrics(ts)
+	shown := shownMetrics(ts, args[0])
 	var exposed []string
 	for _, match := range exposedMetric.FindAllStringSubmatch(ts.ReadFile("stdout"), -1) {
 		name := strings.TrimSuffix(strings.TrimSuffix(match[1], "_total"), "_seconds")
@@ -36,15 +36,15 @@
 	}
 	for _, name := range shown {
 		if !slices.Contains(exposed, name) {
-			ts.Fatalf("docs/operations.md documents the metric %s, which no entry has", name)
+			ts.Fatalf("docs/operations.md documents the metric %s, which no %s has", name, args[0])
 		}
 	}
 }
 
-func shownMetrics(ts *testscript.TestScript) []string {
+func shownMetrics(ts *testscript.TestScript, role string) []string {
 	page, err := os.ReadFile(filepath.Join(filepath.Dir(ts.Getenv("EXAMPLES")), "docs", "operations.md"))
 	ts.Check(err)
-	_, section, _ := strings.Cut(string(page), "\n| metric of an entry |")
+	_, section, _ := strings.Cut(string(page), "\n| metric of an "+role+" |")
 	section, _, _ = strings.Cut(section, "\n\n")
 	var shown []string
 	for line := range strings.Lines(section) {
