--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -105,7 +105,10 @@
 
 // SetEntries tells how many live entries share the bound on transactions.
 // Until then, and below one, this entry counts as the only one.
-func (c *Claimer) SetEntries(entries int) { c.entries.Store(int64(entries)) }
+func (c *Claimer) SetEntries(entries int) {
+	c.entries.Store(int64(entries))
+	c.meters.sharers.Update(int64(entries))
+}
 
 // Close ends all claims with ClaimFailed, and waits for the goroutines.
 func (c *Claimer) Close() {
--- a/claimer/meters.go
+++ b/claimer/meters.go
@@ -13,7 +13,7 @@
 	won, held, failed             metrics.Counter
 	transactions, reads, failures metrics.Counter
 	rows                          metrics.Histogram
-	waiting, queued               metrics.Gauge
+	waiting, queued, sharers      metrics.Gauge
 }
 
 func newMeters(registry metrics.Registry) meters {
@@ -31,6 +31,7 @@
 		rows:         metrics.GetOrRegisterHistogram("claim-rows-per-transaction", registry, sample),
 		waiting:      metrics.GetOrRegisterGauge("claims-waiting", registry),
 		queued:       metrics.GetOrRegisterGauge("claims-queued", registry),
+		sharers:      metrics.GetOrRegisterGauge("claim-sharers", registry),
 	}
 }
 
