receiver: Call no keyed request not-run that another time would have let in

Cause, found by reading: a resubmission whose deadline has passed, whose route is gone, or that meets an entry without configuration or with too much in hand was refused as not-run, though an earlier one with its key may have run. The core says may-have-run in the same place.

Change: such refusals of requests with an Idempotency-Key are may-have-run and say that this submission was not run. Malformed content stays not-run, since no entry would have taken it.

TestRefusalOfAKeyedRequestDoesNotCallItNotRun fails with the old code.

--- a/receiver/problem.go
+++ b/receiver/problem.go
@@ -42,6 +42,17 @@
 	return &problem{status: status, name: name, detail: detail, outcome: task.NotRun, remedy: remedy}
 }
 
+// unlessRun keeps the refusal of a keyed request true that would have been taken
+// at another time: an earlier one with its key may have run.
+func (p *problem) unlessRun(r *http.Request) *problem {
+	if r.Header.Get(headerKey) == "" {
+		return p
+	}
+	p.outcome = task.MayHaveRun
+	p.detail = "this submission was not run: " + p.detail + "; an earlier one with its key may have been"
+	return p
+}
+
 func (c *Receiver) refuse(w http.ResponseWriter, p *problem) {
 	c.refused.Inc(1)
 	boundWrite(w)
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -112,7 +112,7 @@
 	release, ok := c.hold(r)
 	defer release()
 	if !ok {
-		c.refuse(w, refusalOf(overloaded(began)))
+		c.refuse(w, refusalOf(overloaded(began)).unlessRun(r))
 		return
 	}
 	refusal := c.read(w, r, &sub, began)
@@ -181,15 +181,15 @@
 	if table == nil {
 		p := notRun(http.StatusServiceUnavailable, "no-configuration", "the entry has no configuration yet", "try again soon or at another entry")
 		p.retryAt = now.Add(unknownRetry)
-		return p
+		return p.unlessRun(r)
 	}
 	plan, refusal := match(table, r)
 	if refusal != nil {
-		return refusal
+		return refusal.unlessRun(r)
 	}
 	sub.Plan = plan
 	if refusal := c.readDeadline(r, sub, now); refusal != nil {
-		return refusal
+		return refusal.unlessRun(r)
 	}
 	return c.readContent(w, r, sub)
 }
--- a/receiver/refusal_test.go
+++ b/receiver/refusal_test.go
@@ -25,6 +25,24 @@
 	Status int
 }
 
+// An earlier submission with the key may have run, which a refusal that another
+// time would not have met can't deny.
+func TestRefusalOfAKeyedRequestDoesNotCallItNotRun(t *testing.T) {
+	for path, deadline := range map[string]string{"/holds": "2020-01-02T15:04:05Z", "/elsewhere": ""} {
+		is := is.New(t)
+		_, server := serve(t, smallLimits(), echo)
+		header := map[string]string{"Idempotency-Key": "k"}
+		if deadline != "" {
+			header["Agatevalve-Deadline"] = deadline
+		}
+		_, content := do(t, "GET", server.URL+path, header, "")
+		var p problem
+		is.NoErr(json.Unmarshal([]byte(content), &p))
+		is.Equal(p.Outcome, "may-have-run")
+		is.True(strings.HasPrefix(p.Detail, "this submission was not run: "))
+	}
+}
+
 func TestBadInputIsRefusedAndNeverSubmitted(t *testing.T) {
 	job := func(extra ...string) map[string]string {
 		header := map[string]string{"Content-Type": jobType}
