linker: Tell the core of an agent with the load of its greeting

Cause: when a link opens again the core got the kept announcement, which may be older than a drain, and the load of the greeting after it. Between them a start could go to a leaving agent; the fuzz with the links' pings saw one 13.6 s after the drain. The agent refuses such a start.

Change: the announcement carries the load of the greeting. The fuzz's exception for sends between the two is taken out of the oracle.

TestOpenedLinkTellsOfALeavingAgentAtOnce fails with the old code.

--- a/dispatcher/links_test.go
+++ b/dispatcher/links_test.go
@@ -26,9 +26,6 @@
 	// open is true from the agent's greeting on, which came at openedAt.
 	open     bool
 	openedAt time.Time
-	// greeting is true from the announcement that was kept until the load of the
-	// agent's first frame, which linker gives in this order.
-	greeting bool
 	// quietSince is the later of the last frame and the start of the work.
 	quietSince time.Time
 	// probedAt is zero when no ping waits for a frame.
@@ -136,9 +133,9 @@
 	h := w.host(k.agent)
 	w.toAgent(h, h.self, runner.LinkClosed{Entry: n.self})
 	w.toAgent(h, h.self, runner.LinkOpened{Entry: n.self})
-	k.greeting = true
-	w.toEntry(n, n.self, dispatcher.Announced{Announcement: k.announcement})
-	k.greeting = false
+	announcement := k.announcement
+	announcement.Load = w.ports.loadOf(h)
+	w.toEntry(n, n.self, dispatcher.Announced{Announcement: announcement})
 	w.pong(n, k)
 }
 
--- a/dispatcher/oracle_test.go
+++ b/dispatcher/oracle_test.go
@@ -192,12 +192,10 @@
 	o.taken[t] = true
 }
 
-// sent checks that an entry sends nothing to an agent that left a while ago. An
-// entry that opens a link again goes by the last announcement until it has read
-// the agent's greeting.
+// sent checks that an entry sends nothing to an agent that left a while ago.
 func (o *oracle) sent(now time.Time, n *node, s dispatcher.Send) {
 	at, leaving := o.left[s.Agent.Process]
-	if k := n.link(s.Agent.Process); !leaving || k != nil && k.greeting {
+	if !leaving {
 		return
 	}
 	if n.resumed.After(at) {
--- a/linker/agent.go
+++ b/linker/agent.go
@@ -94,8 +94,9 @@
 }
 
 // opened notes that an agent has proved its incarnation, and tells the core of
-// the agent.
-func (l *Linker) opened(k *link) {
+// the agent with the load that it told of now, if any. The announcement is older
+// and may not know of a drain.
+func (l *Linker) opened(k *link, load dispatcher.Load, told bool) {
 	l.mu.Lock()
 	a := l.agents[k.peer.Process]
 	if a == nil || a.link != k {
@@ -105,6 +106,9 @@
 	a.greeted, a.failures = true, 0
 	announcement, announced := a.announcement, a.announced(time.Now())
 	l.mu.Unlock()
+	if told {
+		announcement.Load = load
+	}
 	if announced {
 		l.tell(l.asking, announcement)
 	}
--- a/linker/agent_test.go
+++ b/linker/agent_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"agatevalve/dispatcher"
+	"agatevalve/encoder"
 	"agatevalve/linker"
 	v1 "agatevalve/wire/agatevalvev1"
 )
@@ -74,3 +75,15 @@
 	b.is.Equal(await[dispatcher.Announced](b).Announcement.Load.Running, 5)
 	fake.count(func() { b.is.Equal(fake.links, 1) })
 }
+
+// The announcement that waits for a link may be older than the agent's drain.
+func TestOpenedLinkTellsOfALeavingAgentAtOnce(t *testing.T) {
+	fake := &fakeAgent{process: agent}
+	fake.reply = func(*v1.EntryFrame) *v1.AgentFrame {
+		return &v1.AgentFrame{From: encoder.ProcessToWire(agent), Load: &v1.Load{Slots: 8, Leaving: true}}
+	}
+	b := newBench(t, linker.Options{SilentAfter: patience})
+	peer := dispatcher.Peer{Process: agent, Address: fake.listen(t)}
+	b.is.True(b.linker.Meet(context.Background(), announcementOf(peer)))
+	b.is.True(await[dispatcher.Announced](b).Announcement.Load.Leaving)
+}
--- a/linker/reader.go
+++ b/linker/reader.go
@@ -38,7 +38,8 @@
 		k.progress.saw(time.Now())
 		if !greeted {
 			greeted = true
-			k.linker.opened(k)
+			load, told := k.loadOf(frame)
+			k.linker.opened(k, load, told)
 			close(k.greeted)
 		}
 		k.take(frame)
@@ -79,12 +80,8 @@
 }
 
 func (k *link) takeLoad(frame *v1.AgentFrame) {
-	if frame.GetLoad() == nil {
-		return
-	}
-	load, err := encoder.LoadFromWire(frame.GetLoad())
-	if err != nil {
-		k.drop(err)
+	load, told := k.loadOf(frame)
+	if !told {
 		return
 	}
 	if load.Revision > k.linker.o.Revision() {
@@ -93,6 +90,19 @@
 	k.linker.put(dispatcher.LoadSeen{Agent: k.peer.Process, Load: load})
 }
 
+// loadOf returns the load that a frame tells of, if any.
+func (k *link) loadOf(frame *v1.AgentFrame) (dispatcher.Load, bool) {
+	if frame.GetLoad() == nil {
+		return dispatcher.Load{}, false
+	}
+	load, err := encoder.LoadFromWire(frame.GetLoad())
+	if err != nil {
+		k.drop(err)
+		return dispatcher.Load{}, false
+	}
+	return load, true
+}
+
 func (k *link) report(message *v1.Report) (task.Report, bool) {
 	report, err := encoder.ReportFromWire(message)
 	if err != nil {
