greeter: Forget silent entries that are listed no more

Peers kept each entry that gave no answer until it answered, and an entry that is replaced never does. The set is now rebuilt from the list at each question.

--- a/greeter/peers.go
+++ b/greeter/peers.go
@@ -99,16 +99,19 @@
 // come last, where they keep no answer back.
 func (p *Peers) order() []dispatcher.Peer {
 	var heard, silent []dispatcher.Peer
+	listed := make(map[task.Process]struct{})
 	for _, peer := range p.o.Entries() {
 		if peer.Process == p.o.Self {
 			continue
 		}
 		if _, ok := p.silent[peer.Process]; ok {
 			silent = append(silent, peer)
+			listed[peer.Process] = struct{}{}
 			continue
 		}
 		heard = append(heard, peer)
 	}
+	p.silent = listed // Those that are listed no more are forgotten.
 	shuffle(heard)
 	shuffle(silent)
 	return append(heard, silent...)
