--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -12,7 +12,7 @@
 // Service times. A job of long tasks outlasts a link that falls silent, and one
 // of longer tasks outlasts three tries to reach its owner.
 const (
-	longTask   = "500ms"
+	longTask   = "1s"
 	longerTask = "2s"
 )
 
