--- a/connector/client.go
+++ b/connector/client.go
@@ -36,7 +36,7 @@
 	// maxHeaderBytes bounds the header of a response.
 	maxHeaderBytes = 64 << 10
 
-	unsentRemedy    = "retry later"
+	unsentRemedy    = "retry later, or correct the address of the store if it stays so"
 	uncertainRemedy = "read the rows to learn whether they were written"
 )
 
@@ -55,6 +55,8 @@
 
 // Client is a client of the table service, safe for concurrent use.
 type Client struct {
+	// store stands in errors.
+	store     netip.AddrPort
 	base      string
 	transport *http.Transport
 	patience  *patience
@@ -70,7 +72,8 @@
 		options.Dial = dialer.DialContext
 	}
 	return &Client{
-		base: "http://" + options.Store.String(),
+		store: options.Store,
+		base:  "http://" + options.Store.String(),
 		transport: &http.Transport{
 			DialContext:            options.Dial,
 			DisableCompression:     true,
@@ -164,9 +167,9 @@
 			c.transport.CloseIdleConnections()
 		}
 		if !sent {
-			return nil, fault.Wrap(err, fault.Unavailable, unsentRemedy, "could not send to the table service")
+			return nil, fault.Wrap(err, fault.Unavailable, unsentRemedy, "could not send to the table service at %s", c.store)
 		}
-		return nil, fault.Wrap(err, fault.Uncertain, uncertainRemedy, "no reply from the table service")
+		return nil, fault.Wrap(err, fault.Uncertain, uncertainRemedy, "no reply from the table service at %s", c.store)
 	}
 	watch.succeed()
 	if status == http.StatusOK {
--- a/connector/client_test.go
+++ b/connector/client_test.go
@@ -99,6 +99,7 @@
 	client := connector.New(connector.Options{Store: address})
 	_, err := client.Commit(t.Context(), writeA)
 	is.Equal(fault.KindOf(err), fault.Unavailable)
+	is.True(strings.Contains(err.Error(), address.String()))
 }
 
 func TestMalformedReplies(t *testing.T) {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -175,8 +175,8 @@
 
 // Ready reports whether the entry may take requests. A new follower is ready
 // once it has read the store, or has a revision from another entry, and has
-// every revision that it heard of. Later it
-// stops being ready when it could not get a newer one for Grace.
+// every revision that it heard of. Later it stops being ready when it could not
+// get a newer one for Grace.
 func (f *Follower) Ready() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -133,7 +133,7 @@
 
 func (a Author) check() error {
 	if a.Who == "" || len(a.Who) > LongestWho {
-		return fault.New(fault.Invalid, "say who changes the configuration, with --who", "who has %d bytes, not 1 to %d", len(a.Who), LongestWho)
+		return fault.New(fault.Invalid, "say who changes the configuration, with --who or the variable AGATEVALVE_WHO", "who has %d bytes, not 1 to %d", len(a.Who), LongestWho)
 	}
 	if a.Why == "" || len(a.Why) > LongestWhy {
 		return fault.New(fault.Invalid, "say why, with --why", "why has %d bytes, not 1 to %d", len(a.Why), LongestWhy)
