--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -42,10 +42,13 @@
 	return waiting
 }
 
+// inBubble runs a test with a table in a bubble.
+func inBubble(t *testing.T, test func(t *testing.T, is *is.I, table *emulator.Table)) {
+	synctest.Test(t, func(t *testing.T) { test(t, is.New(t), emulator.NewTable(emulator.Options{})) })
+}
+
 func TestLostReplyIsWonOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{})
+	inBubble(t, func(_ *testing.T, is *is.I, table *emulator.Table) {
 		is.NoErr(table.SetFault(emulator.Fault{Kind: emulator.LoseReplies, On: emulator.Writes, Count: 1}))
 		c, events := start(table, 1)
 		defer c.Close()
@@ -79,9 +82,7 @@
 }
 
 func TestLateWriteOfALostCallIsWonOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{})
+	inBubble(t, func(_ *testing.T, is *is.I, table *emulator.Table) {
 		hung := emulator.Fault{Kind: emulator.Hung, On: emulator.Writes, Count: 1}
 		is.NoErr(table.SetFault(hung))
 		c, events := start(impatient{table}, 1)
@@ -107,9 +108,7 @@
 }
 
 func TestRaceHasOneWinner(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{})
+	inBubble(t, func(_ *testing.T, is *is.I, table *emulator.Table) {
 		first, firstEvents := start(table, 1)
 		defer first.Close()
 		second, secondEvents := start(table, 2)
@@ -122,9 +121,7 @@
 }
 
 func TestTakeoverRaceHasOneWinner(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{})
+	inBubble(t, func(_ *testing.T, is *is.I, table *emulator.Table) {
 		owner, ownerEvents := start(table, 1)
 		old := claimOf(0, 1, 7, in(time.Second))
 		is.True(owner.Insert(dispatcher.WriteClaim{Claim: old}))
@@ -155,9 +152,7 @@
 }
 
 func TestTakeoverOfAChangedClaimIsHeld(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{})
+	inBubble(t, func(_ *testing.T, is *is.I, table *emulator.Table) {
 		c, events := start(table, 1)
 		defer c.Close()
 		stands := claimOf(0, 1, 7, in(time.Second))
@@ -173,9 +168,7 @@
 }
 
 func TestOutageThenRecovery(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{})
+	inBubble(t, func(t *testing.T, is *is.I, table *emulator.Table) {
 		is.NoErr(table.SetFault(emulator.Fault{Kind: emulator.Down}))
 		c, events := start(table, 1)
 		defer c.Close()
@@ -197,9 +190,7 @@
 }
 
 func TestHungStoreWinsNothingAfterTheDeadline(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{})
+	inBubble(t, func(t *testing.T, is *is.I, table *emulator.Table) {
 		is.NoErr(table.SetFault(emulator.Fault{Kind: emulator.Hung}))
 		c, events := start(table, 1)
 		defer c.Close()
@@ -237,9 +228,7 @@
 }
 
 func TestClaimsShareTransactions(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{})
+	inBubble(t, func(_ *testing.T, is *is.I, table *emulator.Table) {
 		c, events := start(table, 1)
 		defer c.Close()
 		for job := range 1000 {
@@ -254,9 +243,7 @@
 }
 
 func TestCloseEndsAllClaims(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{})
+	inBubble(t, func(_ *testing.T, is *is.I, table *emulator.Table) {
 		is.NoErr(table.SetFault(emulator.Fault{Kind: emulator.Down}))
 		c, events := start(table, 1)
 		is.True(c.Insert(dispatcher.WriteClaim{Claim: claimOf(0, 1, 1, in(time.Minute))}))
--- a/claimer/sweep_test.go
+++ b/claimer/sweep_test.go
@@ -53,9 +53,7 @@
 }
 
 func TestSweeperComesBackForOldClaims(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{})
+	inBubble(t, func(t *testing.T, is *is.I, table *emulator.Table) {
 		sweeper := claimer.NewSweeper(table, rand.New(rand.NewPCG(1, 1)), nil)
 		c, events := start(table, 1)
 		defer c.Close()
@@ -74,9 +72,7 @@
 }
 
 func TestOneSweeperWorksAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{})
+	inBubble(t, func(t *testing.T, is *is.I, table *emulator.Table) {
 		_, err := claimer.Sweep(t.Context(), table, time.Now())
 		is.NoErr(err)
 		time.Sleep(time.Minute)
--- a/emulator/table_test.go
+++ b/emulator/table_test.go
@@ -20,11 +20,14 @@
 	return []tabler.Write{{Key: key, Expect: expect, Value: []byte(value)}}
 }
 
+// inBubble runs a test of a table in a bubble.
+func inBubble(t *testing.T, o emulator.Options, test func(is *is.I, table *emulator.Table)) {
+	synctest.Test(t, func(t *testing.T) { test(is.New(t), emulator.NewTable(o)) })
+}
+
 func TestCommitAppliesAllOrNone(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
+	inBubble(t, emulator.Options{}, func(is *is.I, table *emulator.Table) {
 		ctx := context.Background()
-		table := emulator.NewTable(emulator.Options{})
 		result, err := table.Commit(ctx, put(rowA, 0, "one"))
 		is.NoErr(err)
 		is.True(result.Applied)
@@ -42,9 +45,7 @@
 }
 
 func TestConflictNamesAbsentRow(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{})
+	inBubble(t, emulator.Options{}, func(is *is.I, table *emulator.Table) {
 		result, err := table.Commit(context.Background(), put(rowA, 3, "x"))
 		is.NoErr(err)
 		is.Equal(result.Conflicts, []tabler.Row{{Key: rowA}})
@@ -52,9 +53,7 @@
 }
 
 func TestWritesQueueAtTheRate(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{WriteTakes: 4 * time.Millisecond, WritesPerSecond: 500})
+	inBubble(t, emulator.Options{WriteTakes: 4 * time.Millisecond, WritesPerSecond: 500}, func(is *is.I, table *emulator.Table) {
 		began := time.Now()
 		done := make(chan time.Duration, 10)
 		for i := range 10 {
@@ -73,9 +72,7 @@
 }
 
 func TestFullQueueRefuses(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{WritesPerSecond: 100, MaxWait: 15 * time.Millisecond})
+	inBubble(t, emulator.Options{WritesPerSecond: 100, MaxWait: 15 * time.Millisecond}, func(is *is.I, table *emulator.Table) {
 		for i := range 2 {
 			go func() {
 				_, _ = table.Commit(context.Background(), put(tabler.Key{Table: "t", Row: fmt.Sprint(i)}, 0, "x"))
@@ -92,9 +89,7 @@
 }
 
 func TestWriteAppliesAfterItsCallerLeft(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{})
+	inBubble(t, emulator.Options{}, func(is *is.I, table *emulator.Table) {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
 		defer cancel()
 		_, err := table.Commit(ctx, put(rowA, 0, "x"))
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -86,17 +86,22 @@
 	})
 }
 
+// following runs a test in a bubble with a follower of a source.
+func following(t *testing.T, s *source, test func(is *is.I, s *source, f *follower.Follower)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(s)
+		defer f.Close()
+		test(is.New(t), s, f)
+	})
+}
+
 func after(d time.Duration) {
 	time.Sleep(d)
 	synctest.Wait()
 }
 
 func TestFollows(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := &source{head: 3}
-		f := start(s)
-		defer f.Close()
+	following(t, &source{head: 3}, func(is *is.I, s *source, f *follower.Follower) {
 		is.True(!f.Ready())
 		is.Equal(f.Revision(), uint64(0))
 		synctest.Wait()
@@ -128,11 +133,7 @@
 }
 
 func TestHearingPollsAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := &source{head: 3}
-		f := start(s)
-		defer f.Close()
+	following(t, &source{head: 3}, func(is *is.I, s *source, f *follower.Follower) {
 		synctest.Wait()
 		s.set(func() { s.head = 4 })
 		f.Hear(4)
@@ -143,11 +144,7 @@
 }
 
 func TestOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := &source{head: 3}
-		f := start(s)
-		defer f.Close()
+	following(t, &source{head: 3}, func(is *is.I, s *source, f *follower.Follower) {
 		synctest.Wait()
 		s.set(func() { s.down = true })
 		after(10 * time.Second)
@@ -170,11 +167,7 @@
 }
 
 func TestNewFollowerHasNoGrace(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := &source{head: 3, down: true}
-		f := start(s)
-		defer f.Close()
+	following(t, &source{head: 3, down: true}, func(is *is.I, s *source, f *follower.Follower) {
 		f.Hear(3)
 		synctest.Wait()
 		is.True(!f.Ready())
@@ -207,11 +200,7 @@
 }
 
 func TestRevisionThatIsNotInTheStore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := &source{head: 3}
-		f := start(s)
-		defer f.Close()
+	following(t, &source{head: 3}, func(is *is.I, s *source, f *follower.Follower) {
 		synctest.Wait()
 		f.Hear(900)
 		after(time.Second)
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -54,6 +54,11 @@
 	return publisher.Edit{Author: author, Base: base, Changes: historian.Changes{Routes: []historian.Change[router.Route]{change}}}
 }
 
+// inBubble runs a test with a table in a bubble.
+func inBubble(t *testing.T, test func(t *testing.T, is *is.I, table *emulator.Table)) {
+	synctest.Test(t, func(t *testing.T) { test(t, is.New(t), emulator.NewTable(emulator.Options{})) })
+}
+
 func TestPublishAndRevert(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -115,9 +120,7 @@
 }
 
 func TestNoChangePublishesNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{})
+	inBubble(t, func(t *testing.T, is *is.I, table *emulator.Table) {
 		p := newPublisher(table)
 		_, err := p.Publish(t.Context(), setPool(0, router.Pool{Name: "desk"}))
 		is.NoErr(err)
@@ -150,9 +153,7 @@
 }
 
 func TestLostReplyIsResolved(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{})
+	inBubble(t, func(t *testing.T, is *is.I, table *emulator.Table) {
 		is.NoErr(table.SetFault(emulator.Fault{Kind: emulator.LoseReplies, On: emulator.Writes, Count: 1}))
 		receipt, err := newPublisher(table).Publish(t.Context(), setPool(0, router.Pool{Name: "desk"}))
 		is.NoErr(err)
@@ -166,9 +167,7 @@
 // TestHungWriteIsNotPublishedTwice lets a write hang past its caller's patience
 // and take effect after the same transaction was sent again.
 func TestHungWriteIsNotPublishedTwice(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{})
+	inBubble(t, func(t *testing.T, is *is.I, table *emulator.Table) {
 		impatient := &impatientTable{Table: table}
 		is.NoErr(table.SetFault(emulator.Fault{Kind: emulator.Hung, On: emulator.Writes, Count: 1}))
 		receipt, err := newPublisher(impatient).Publish(t.Context(), setPool(0, router.Pool{Name: "desk"}))
@@ -185,9 +184,7 @@
 }
 
 func TestUnknownFateIsSaid(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{})
+	inBubble(t, func(t *testing.T, is *is.I, table *emulator.Table) {
 		is.NoErr(table.SetFault(emulator.Fault{Kind: emulator.LoseReplies, On: emulator.Writes}))
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
@@ -197,9 +194,7 @@
 }
 
 func TestRecordSurvivesLostReply(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{})
+	inBubble(t, func(t *testing.T, is *is.I, table *emulator.Table) {
 		is.NoErr(table.SetFault(emulator.Fault{Kind: emulator.LoseReplies, On: emulator.Writes, Count: 2}))
 		is.NoErr(newPublisher(table).Record(t.Context(), author, historian.Drained, "agent-1"))
 		actions, err := historian.New(table).Acts(t.Context(), time.Now())
--- a/registrar/keeper_test.go
+++ b/registrar/keeper_test.go
@@ -51,10 +51,13 @@
 	is.Equal(fault.KindOf(err), fault.Invalid)
 }
 
+// inBubble runs a test of a table in a bubble.
+func inBubble(t *testing.T, test func(t *testing.T, is *is.I, table *emulator.Table)) {
+	synctest.Test(t, func(t *testing.T) { test(t, is.New(t), emulator.NewTable(emulator.Options{})) })
+}
+
 func TestMembersComeAndGo(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{})
+	inBubble(t, func(_ *testing.T, is *is.I, table *emulator.Table) {
 		first, second := keep(table, memberOf("a", 1)), keep(table, memberOf("b", 2))
 		reader := keep(table, registrar.Member{}) // An agent lists and isn't listed.
 		defer reader.Close()
@@ -76,9 +79,7 @@
 }
 
 func TestDeadMemberExpiresAndIsDeleted(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{})
+	inBubble(t, func(t *testing.T, is *is.I, table *emulator.Table) {
 		dead := memberOf("dead", 1)
 		dead.Expires = time.Now().Add(10 * time.Second)
 		_, err := table.Commit(t.Context(), []tabler.Write{{
@@ -101,9 +102,7 @@
 }
 
 func TestExpiredRowIsNotDeletedAtFirstSight(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{})
+	inBubble(t, func(t *testing.T, is *is.I, table *emulator.Table) {
 		old := memberOf("old", 1)
 		old.Expires = time.Now().Add(-time.Hour) // The store may have been down for the hour.
 		_, err := table.Commit(t.Context(), []tabler.Write{{
@@ -156,9 +155,7 @@
 }
 
 func TestMemberThatDiedInAnOutageIsGivenUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{})
+	inBubble(t, func(_ *testing.T, is *is.I, table *emulator.Table) {
 		alive, dying := keep(table, memberOf("alive", 1)), keep(table, memberOf("dying", 2))
 		defer alive.Close()
 		time.Sleep(5 * time.Second)
@@ -173,9 +170,7 @@
 }
 
 func TestRenewalsAreFewAndSpread(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := emulator.NewTable(emulator.Options{})
+	inBubble(t, func(_ *testing.T, is *is.I, table *emulator.Table) {
 		var keepers []*registrar.Keeper
 		for i := range 30 {
 			keepers = append(keepers, keep(table, memberOf("entry", task.Incarnation(i+1))))
