dispatcher: Split two long test files, and begin tests the same way

Nothing else is changed: go test -list names the same tests, and go test -race ./dispatcher and the linter pass.

--- a/dispatcher/core_test.go
+++ b/dispatcher/core_test.go
@@ -33,6 +33,9 @@
 	})}
 }
 
+// begin returns what a test checks with and an entry of its own.
+func begin(t *testing.T, name string) (*is.I, *entry) { return is.New(t), newEntry(name) }
+
 func (e *entry) step(event dispatcher.Event) []dispatcher.Command {
 	return append([]dispatcher.Command{}, e.core.Step(e.now, event)...)
 }
@@ -86,8 +89,7 @@
 }
 
 func TestKeylessRequestIsSentOnceAndAnswered(t *testing.T) {
-	is := is.New(t)
-	e := newEntry("one")
+	is, e := begin(t, "one")
 	e.announce("a", 1)
 	sends := only[dispatcher.Send](e.step(dispatcher.Submitted{Submission: e.submission("", 1, false)}))
 	is.Equal(len(sends), 1)
@@ -99,8 +101,7 @@
 }
 
 func TestKeyedJobStartsOnlyUnderItsClaim(t *testing.T) {
-	is := is.New(t)
-	e := newEntry("one")
+	is, e := begin(t, "one")
 	e.announce("a", 4)
 	first := e.step(dispatcher.Submitted{Submission: e.submission("k", 3, false)})
 	is.Equal(len(only[dispatcher.Send](first)), 0)
@@ -123,8 +124,7 @@
 }
 
 func TestTakeoverStartsOnlyWhatNoAgentStarted(t *testing.T) {
-	is := is.New(t)
-	e := newEntry("two")
+	is, e := begin(t, "two")
 	e.announce("a", 4)
 	e.step(dispatcher.Submitted{Submission: e.submission("k", 2, false)})
 	old := dispatcher.Claim{
@@ -151,8 +151,7 @@
 }
 
 func TestTakeoverWithAnUnreachableAgentIsUncertain(t *testing.T) {
-	is := is.New(t)
-	e := newEntry("two")
+	is, e := begin(t, "two")
 	e.announce("a", 4)
 	e.step(dispatcher.Submitted{Submission: e.submission("k", 1, false)})
 	old := dispatcher.Claim{
@@ -167,8 +166,7 @@
 }
 
 func TestLostLinkIsSettledNotResent(t *testing.T) {
-	is := is.New(t)
-	e := newEntry("one")
+	is, e := begin(t, "one")
 	e.announce("a", 2)
 	sends := only[dispatcher.Send](e.step(dispatcher.Submitted{Submission: e.submission("", 1, false)}))
 	commands := e.step(dispatcher.LinkLost{Agent: sends[0].Agent.Process})
@@ -185,8 +183,7 @@
 }
 
 func TestLostAgentLeavesNonIdempotentTaskUncertain(t *testing.T) {
-	is := is.New(t)
-	e := newEntry("one")
+	is, e := begin(t, "one")
 	e.announce("a", 2)
 	e.announce("b", 2)
 	sends := only[dispatcher.Send](e.step(dispatcher.Submitted{Submission: e.submission("", 1, false)}))
@@ -197,8 +194,7 @@
 }
 
 func TestDeadlineBeforeAnySendIsNotRun(t *testing.T) {
-	is := is.New(t)
-	e := newEntry("one")
+	is, e := begin(t, "one")
 	e.step(dispatcher.Submitted{Submission: e.submission("", 1, false)})
 	e.now = e.now.Add(10 * time.Second)
 	replies := only[dispatcher.Reply](e.step(dispatcher.Tick{}))
@@ -206,8 +202,7 @@
 }
 
 func TestIdempotentTaskIsRetriedAtAnotherMinion(t *testing.T) {
-	is := is.New(t)
-	e := newEntry("one")
+	is, e := begin(t, "one")
 	e.announce("a", 2)
 	e.announce("b", 2)
 	sends := only[dispatcher.Send](e.step(dispatcher.Submitted{Submission: e.submission("", 1, true)}))
@@ -222,8 +217,7 @@
 }
 
 func TestNotRunIsConfirmedByTheStore(t *testing.T) {
-	is := is.New(t)
-	e := newEntry("one")
+	is, e := begin(t, "one")
 	claims := only[dispatcher.WriteClaim](e.step(dispatcher.Submitted{Submission: e.submission("k", 1, false)}))
 	e.step(dispatcher.ClaimWon{Claim: claims[0].Claim})
 	e.now = e.now.Add(9800 * time.Millisecond)
@@ -237,8 +231,7 @@
 }
 
 func TestOtherContentUnderAnUnclaimedKeyIsNotCalledNotRun(t *testing.T) {
-	is := is.New(t)
-	e := newEntry("one")
+	is, e := begin(t, "one")
 	e.step(dispatcher.Submitted{Submission: e.submission("k", 1, false)})
 	other := e.submission("k", 1, false)
 	other.Digest = task.Digest{1}
@@ -247,8 +240,7 @@
 }
 
 func TestRefusedContentDoesNotTakeItsKey(t *testing.T) {
-	is := is.New(t)
-	e := newEntry("one")
+	is, e := begin(t, "one")
 	other := e.submission("k", 1, false)
 	other.Digest = task.Digest{1}
 	e.step(dispatcher.Submitted{Submission: other})
@@ -261,8 +253,7 @@
 }
 
 func TestClaimWithoutAgentsIsWidenedWhenOneComes(t *testing.T) {
-	is := is.New(t)
-	e := newEntry("one")
+	is, e := begin(t, "one")
 	claims := only[dispatcher.WriteClaim](e.step(dispatcher.Submitted{Submission: e.submission("k", 1, false)}))
 	is.Equal(len(claims[0].Claim.Agents), 0)
 	e.step(dispatcher.ClaimWon{Claim: claims[0].Claim})
@@ -275,8 +266,7 @@
 }
 
 func TestIdempotentTaskStartsElsewhereWhenItsAgentIsOutOfReach(t *testing.T) {
-	is := is.New(t)
-	e := newEntry("one")
+	is, e := begin(t, "one")
 	e.announce("a", 2)
 	e.announce("b", 2)
 	sends := only[dispatcher.Send](e.step(dispatcher.Submitted{Submission: e.submission("", 1, true)}))
@@ -290,8 +280,7 @@
 }
 
 func TestRefusalJustBeforeTheDeadlineIsNotCalledNotRun(t *testing.T) {
-	is := is.New(t)
-	e := newEntry("one")
+	is, e := begin(t, "one")
 	e.announce("a", 1)
 	claims := only[dispatcher.WriteClaim](e.step(dispatcher.Submitted{Submission: e.submission("k", 1, false)}))
 	sends := only[dispatcher.Send](e.step(dispatcher.ClaimWon{Claim: claims[0].Claim}))
--- a/dispatcher/fuzz_test.go
+++ b/dispatcher/fuzz_test.go
@@ -12,6 +12,7 @@
 
 	"agatevalve/common/task"
 	"agatevalve/dispatcher"
+	"agatevalve/router"
 )
 
 // TestMain fixes the seed of rapid, so that each run gives the same verdict.
@@ -274,3 +275,54 @@
 		f.w.advance(f.w.now.Add(500 * time.Millisecond))
 	}
 }
+
+// submit sends a submission of a caller to an entry. Every other caller names
+// the deadline itself, the rest leave it to the entry and its clock. A named one
+// that has passed there is refused before the core gets it.
+func (w *world) submit(n *node, key task.Key, variant, tasks int, r route, within time.Duration) {
+	w.ticket++
+	idempotent := r.idempotent
+	deadline := n.clock(w.now).Add(within)
+	if w.ticket%2 == 0 {
+		deadline = w.now.Add(within)
+	}
+	if !deadline.After(n.clock(w.now)) {
+		return
+	}
+	s := dispatcher.Submission{
+		Ticket: dispatcher.Ticket(w.ticket), Team: "climbs", Key: key,
+		Digest: task.Digest{byte(variant)}, Deadline: deadline,
+		Plan: router.Plan{
+			Route: router.Route{Name: fmt.Sprint("route", idempotent), Pool: r.pool, Idempotent: idempotent},
+			Pool:  router.Pool{Name: r.pool},
+		},
+	}
+	name := string(key)
+	if key == "" {
+		name = fmt.Sprint("keyless-", w.ticket)
+		if idempotent {
+			name = fmt.Sprint("idempotent-", w.ticket)
+		}
+		s.Job = task.KeyedJobID("", task.Key(name))
+	} else {
+		s.Job = task.KeyedJobID(s.Team, key)
+	}
+	for i := range tasks {
+		s.Tasks = append(s.Tasks, task.Request{Body: fmt.Appendf(nil, "%s/%d/%d", name, variant, i)})
+	}
+	w.oracle.submitted(n, s)
+	w.toEntry(n, n.self, dispatcher.Submitted{Submission: s})
+}
+
+// withdraw has a caller go away.
+func (w *world) withdraw(ticket dispatcher.Ticket) {
+	c := w.oracle.calls[ticket]
+	n := w.node(c.entry)
+	// A reply that a step of the clock has made due comes before.
+	w.toEntry(n, c.entry, dispatcher.Tick{})
+	if c.replied {
+		return
+	}
+	c.replied = true
+	w.toEntry(n, c.entry, dispatcher.Withdrawn{Ticket: ticket})
+}
--- a/dispatcher/regressions_test.go
+++ b/dispatcher/regressions_test.go
@@ -29,8 +29,7 @@
 }
 
 func TestKeyedJobWithoutClaimIsNeverCalledNotRun(t *testing.T) {
-	is := is.New(t)
-	e := newEntry("one")
+	is, e := begin(t, "one")
 	e.step(dispatcher.Submitted{Submission: e.submission("k", 1, true)})
 	e.now = e.now.Add(10 * time.Second)
 	replies := only[dispatcher.Reply](e.step(dispatcher.Tick{}))
@@ -38,8 +37,7 @@
 }
 
 func TestSettleNamesOnlyAttemptsWhoseLinkBroke(t *testing.T) {
-	is := is.New(t)
-	e := newEntry("one")
+	is, e := begin(t, "one")
 	e.announce("a", 4)
 	old := only[dispatcher.Send](e.step(dispatcher.Submitted{Submission: e.submission("", 1, false)}))[0]
 	e.step(dispatcher.LinkLost{Agent: old.Agent.Process})
@@ -55,8 +53,7 @@
 }
 
 func TestWorkThatTheStoreHeldBackKeepsNoNewWorkOut(t *testing.T) {
-	is := is.New(t)
-	e := newEntry("one")
+	is, e := begin(t, "one")
 	e.announce("a", 1)
 	var claims []dispatcher.WriteClaim
 	for _, key := range []task.Key{"k", "l", "m", "n", "o", "p", "q"} {
