scheduler: Test ejection and single trials where no other minion has room

The test now keeps the other minion full and asserts three failures, single trials, doubled pauses and readmission; it fails when trials are not single (mutation of place) and when pauses do not double (mutation of conduct). The code needed no change.

--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -213,25 +213,76 @@
 	is.Equal(len(find[scheduler.Answer](b.report(placed[0], late))), 1)
 }
 
-func TestMinionThatFailsAllGetsSingleTrials(t *testing.T) {
+// A minion that fails is avoided while another has room, long before it is
+// ejected, so its ejection shows only where all others are full.
+func TestFailingMinionIsAvoidedWhileAnotherHasRoom(t *testing.T) {
 	is := is.New(t)
 	b := newBench(2)
-	bad := agent(0)
-	placements := 0
+	failed := 0
 	for i := range 40 {
 		for _, p := range find[scheduler.Place](b.step(b.job(fmt.Sprint("job-", i), 1))) {
-			state := work.Done
-			if p.Agent == bad {
-				state = work.Failed
-				placements++
+			if p.Agent != agent(0) {
+				b.report(p, work.Report{State: work.Done})
+				continue
 			}
-			for _, q := range find[scheduler.Place](b.report(p, work.Report{State: state, Number: uint64(i + 1)})) {
-				b.report(q, work.Report{State: work.Done, Number: uint64(i + 1)})
+			failed++
+			again := find[scheduler.Place](b.report(p, work.Report{State: work.Failed}))
+			is.Equal(again[0].Agent, agent(1)) // Another minion first.
+			b.report(again[0], work.Report{State: work.Done})
+		}
+	}
+	is.True(failed >= 1)
+	is.True(failed <= 2)
+}
+
+func TestMinionThatFailsAllGetsSingleTrials(t *testing.T) {
+	is := is.New(t)
+	b := newBench(2)
+	full := work.Load{Running: work.Room{CPU: 10_000, Memory: 1000}, QueuedWork: 2 * time.Second}
+	b.step(scheduler.Reported{Agent: agent(1), Link: 2, Load: &full})
+	submitted := 0
+	// submit brings a few jobs, fails or ends what the open minion is given, and
+	// counts that.
+	submit := func(state work.State) int {
+		given := 0
+		for range 5 {
+			submitted++
+			id := fmt.Sprint("job-", submitted)
+			for _, p := range find[scheduler.Place](b.step(b.job(id, 1))) {
+				is.Equal(p.Agent, agent(0))
+				given++
+				b.report(p, work.Report{State: state})
 			}
+			b.step(scheduler.Cancelled{Job: id})
 		}
+		return given
 	}
-	is.True(placements >= 1)
-	is.True(placements <= 6)
+	is.Equal(submit(work.Failed), 3) // Ejected by three failures on end.
+	pause := 500 * time.Millisecond
+	for range 5 {
+		b.pass(pause - 200*time.Millisecond)
+		is.Equal(submit(work.Done), 0)
+		b.pass(200 * time.Millisecond)
+		is.Equal(submit(work.Failed), 1) // A single trial, then a pause twice as long.
+		pause = min(2*pause, 4*time.Second)
+	}
+	b.pass(pause)
+	is.Equal(submit(work.Done), 5) // Readmitted by its first success.
+}
+
+// A trial was to be the only run at an ejected minion until it has ended.
+func TestTrialIsAloneUntilItEnds(t *testing.T) {
+	is := is.New(t)
+	b := newBench(1)
+	for i := range 3 {
+		id := fmt.Sprint("job-", i)
+		placed := find[scheduler.Place](b.step(b.job(id, 1)))
+		b.report(placed[0], work.Report{State: work.Failed})
+		b.step(scheduler.Cancelled{Job: id})
+	}
+	b.pass(time.Second)
+	is.Equal(len(find[scheduler.Place](b.step(b.job("a", 4)))), 1)
+	is.Equal(len(find[scheduler.Place](b.pass(100*time.Millisecond))), 0)
 }
 
 // A task was sent six times in a moment to a minion that returned it each time.
