finder, admitter, platform: Cancel a job at any entry, and decide outside of the adapter

A DELETE at another entry than the job's was answered 410 while the job ran. The entry now asks the others; where one that may run the job is silent the answer is 503 with Retry-After, never 410. A cancelled job is answered as cancelled in place of unfinished, after which callers would submit it again.

platform/ decided which deadline holds, how much before it an answer leaves, and what is not built. That is now admitter's; platform/ only decodes.

--- /dev/null
+++ b/admitter/admitter.go
@@ -0,0 +1,77 @@
+// Package admitter makes jobs of submissions: it checks what a caller asks
+// for, and sets the limits that the route gives.
+package admitter
+
+import (
+	"time"
+
+	"agatevalve/common/fault"
+	"agatevalve/common/work"
+	"agatevalve/router"
+)
+
+const (
+	// mostTasks caps the tasks of a job, far above the 1,300 that are expected.
+	mostTasks = 100_000
+	// answerMargin is how much before the caller's deadline an answer leaves;
+	// about twice the longest way to a caller, 3 ms, and a late timer.
+	answerMargin = 12 * time.Millisecond
+	// longestWait is the deadline where neither caller nor route gives one.
+	longestWait = time.Minute
+)
+
+// Admit returns the job of a submission on its route. A fault of kind Invalid
+// is the caller's; one of kind Unavailable names what is not built.
+func Admit(s work.Submission, plan router.Plan) (work.Job, error) {
+	if len(s.Steps) == 0 {
+		return work.Job{}, fault.New(fault.Invalid, "send one step", "the job has no steps")
+	}
+	if what := unsupported(s); what != "" {
+		return work.Job{}, fault.New(fault.Unavailable, "send jobs of one step that are answered at their end", "%s are not supported", what)
+	}
+	step := s.Steps[0]
+	if step.Count < 1 || step.Count > mostTasks {
+		return work.Job{}, fault.New(fault.Invalid, "send 1 to 100,000 tasks", "the step has %d tasks", step.Count)
+	}
+	if step.Room.CPU < 0 || step.Room.Memory < 0 || step.Room.Accelerators < 0 || step.Hint < 0 || step.MostBeside < 0 {
+		return work.Job{}, fault.New(fault.Invalid, "send no negative figures", "a size of the step is negative")
+	}
+	policy := plan.Route.Jobs
+	return work.Job{
+		ID: s.ID, Route: plan.Route.Name, Service: plan.Pool.Name, Spec: s.Spec,
+		Count: step.Count, Room: step.Room, Label: step.Label, Rack: step.Rack, MostBeside: step.MostBeside, Hint: step.Hint,
+		Attempts: max(policy.Attempts, 1), Priority: policy.Priority, Stretch: policy.Stretch, Allowance: policy.Allowance,
+		Arrived: s.Arrived, Deadline: deadline(s, plan.Route.AnswerWithin),
+	}, nil
+}
+
+// deadline returns when the answer has to leave: before the caller stops
+// waiting, and within the time of the route.
+func deadline(s work.Submission, within time.Duration) time.Time {
+	end := s.Arrived.Add(longestWait)
+	if within > 0 {
+		end = s.Arrived.Add(within)
+	}
+	if !s.Deadline.IsZero() && s.Deadline.Before(end) {
+		end = s.Deadline
+	}
+	return end.Add(-min(answerMargin, end.Sub(s.Arrived)/2))
+}
+
+// unsupported names what a submission asks for that is not built, or "".
+func unsupported(s work.Submission) string {
+	step := s.Steps[0]
+	switch {
+	case s.Stored:
+		return "jobs that are stored"
+	case len(s.Steps) > 1:
+		return "jobs of several steps"
+	case s.Timed:
+		return "jobs with times"
+	case step.Gang:
+		return "gangs"
+	case step.Lasting:
+		return "tasks that last"
+	}
+	return ""
+}
--- a/common/work/work.go
+++ b/common/work/work.go
@@ -184,11 +184,13 @@
 	NotRun
 	// Unfinished means that the deadline passed after a task may have started.
 	Unfinished
+	// Cancelled ended by an order of its caller.
+	Cancelled
 )
 
 // String returns the kebab-case name of the outcome.
 func (o Outcome) String() string {
-	names := [...]string{"unknown", "succeeded", "exhausted", "not-run", "unfinished"}
+	names := [...]string{"unknown", "succeeded", "exhausted", "not-run", "unfinished", "cancelled"}
 	if int(o) < len(names) {
 		return names[o]
 	}
--- a/coupler/asker.go
+++ b/coupler/asker.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
@@ -31,6 +33,22 @@
 	return subscriber.Document{}, err
 }
 
+// Find asks an entry whether it runs a job, and has it stopped when cancel is
+// set. An entry where nothing listens any more runs none.
+func Find(ctx context.Context, address netip.AddrPort, job string, cancel bool) (bool, error) {
+	client := dialer.New(dialer.Options{ConnectWithin: askWithin})
+	defer client.Close()
+	service := agatevalvev1connect.NewRunServiceClient(client, "http://"+address.String(), dialer.Plain())
+	response, err := service.Find(ctx, connect.NewRequest(&v1.FindRequest{Job: job, Cancel: cancel}))
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return false, nil
+	}
+	if err != nil {
+		return false, fault.Wrap(err, fault.Uncertain, "check the entry at "+address.String(), "ask for a job")
+	}
+	return response.Msg.GetKnown(), nil
+}
+
 func newestOf(ctx context.Context, from, address netip.AddrPort, version int64) (subscriber.Document, error) {
 	ctx, cancel := context.WithTimeout(ctx, askWithin)
 	defer cancel()
--- a/coupler/coupler_test.go
+++ b/coupler/coupler_test.go
@@ -64,6 +64,8 @@
 	p.hub = coupler.NewHub(coupler.HubOptions{
 		Self: task.Process{Name: "entry-1", Incarnation: 7}, Events: p.atHub.tell, Log: discard,
 		Entries: func() []netip.AddrPort { return []netip.AddrPort{p.at} },
+		Known:   func(id string) bool { return id == "running" },
+		Cancel:  func(id string) bool { return id == "running" },
 		Newest:  func() subscriber.Document { return subscriber.Document{Version: 5, Content: []byte("five")} },
 	})
 	p.server = httptest.NewUnstartedServer(p.hub.Handler())
@@ -166,3 +168,19 @@
 	_, err = coupler.Newest(t.Context(), dead, []netip.AddrPort{dead}, 4)
 	is.True(err != nil)
 }
+
+func TestJobIsFoundAtAnotherEntry(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	for _, cancel := range []bool{false, true} {
+		known, err := coupler.Find(t.Context(), p.at, "running", cancel)
+		is.NoErr(err)
+		is.True(known)
+		known, err = coupler.Find(t.Context(), p.at, "other", cancel)
+		is.NoErr(err)
+		is.True(!known)
+	}
+	known, err := coupler.Find(t.Context(), netip.MustParseAddrPort("127.0.0.1:1"), "running", true)
+	is.NoErr(err)
+	is.True(!known) // Nothing listens there, so nothing runs there.
+}
--- a/coupler/hub.go
+++ b/coupler/hub.go
@@ -34,7 +34,9 @@
 	Met func(netip.AddrPort)
 	// Newest returns the configuration in force.
 	Newest func() subscriber.Document
-	Log    *slog.Logger
+	// Known reports whether a job runs here, and Cancel stops it too.
+	Known, Cancel func(id string) bool
+	Log           *slog.Logger
 }
 
 // Hub is the entry's end of all links. It is safe for concurrent use.
@@ -106,6 +108,15 @@
 	return connect.NewResponse(response), nil
 }
 
+// Find implements the service for other entries.
+func (h *Hub) Find(_ context.Context, request *connect.Request[v1.FindRequest]) (*connect.Response[v1.FindResponse], error) {
+	find := h.o.Known
+	if request.Msg.GetCancel() {
+		find = h.o.Cancel
+	}
+	return connect.NewResponse(&v1.FindResponse{Known: find(request.Msg.GetJob())}), nil
+}
+
 // Link implements the service for agents.
 func (h *Hub) Link(ctx context.Context, stream *connect.BidiStream[v1.RunReports, v1.RunOrders]) error {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/jobber/jobber.go
+++ b/jobber/jobber.go
@@ -95,7 +95,7 @@
 		ends:      make(map[work.State]metrics.Counter),
 		answer:    metrics.GetOrRegisterTimer("job-answer", r),
 	}
-	for outcome := work.Succeeded; outcome <= work.Unfinished; outcome++ {
+	for outcome := work.Succeeded; outcome <= work.Cancelled; outcome++ {
 		c.outcomes[outcome] = metrics.GetOrRegisterCounter("jobs-"+outcome.String(), r)
 	}
 	for state := work.Done; state <= work.Lost; state++ {
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"agatevalve/coupler"
+	"agatevalve/finder"
 	"agatevalve/jobber"
 	"agatevalve/listener"
 	"agatevalve/platform"
@@ -71,6 +72,7 @@
 	e.hub = coupler.NewHub(coupler.HubOptions{
 		Self: e.self, Events: e.jobs.Tell, Entries: e.entries,
 		Newest: func() subscriber.Document { return e.subscriber.Document() }, Met: e.met, Log: e.log,
+		Known: e.jobs.Known, Cancel: e.jobs.Cancel,
 	})
 	store := platform.NewStore(s.Store)
 	e.subscriber = subscriber.New(subscriber.Options{
@@ -93,7 +95,10 @@
 		return err
 	}
 	callers, err := e.serve("callers", s.Callers, platform.NewCallers(platform.CallersOptions{
-		Jobs: e.jobs, Configuration: e.subscriber.Configuration, Leaving: e.leaving.Load, Log: e.log,
+		Jobs: e.jobs, Finder: finder.New(finder.Options{
+			Jobs: e.jobs, Others: func() []netip.AddrPort { return e.entries()[1:] }, Ask: coupler.Find, Log: e.log,
+		}),
+		Configuration: e.subscriber.Configuration, Leaving: e.leaving.Load, Log: e.log,
 	}))
 	e.callers = callers
 	if err != nil {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -131,7 +131,7 @@
 
 func (ev Cancelled) apply(c *Core, now time.Time) {
 	if j := c.jobs[ev.Job]; j != nil {
-		c.giveUp(now, j, "the job was cancelled")
+		c.finish(now, j, work.Cancelled, "its caller cancelled it")
 	}
 }
 
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -152,6 +152,16 @@
 	is.Equal(len(find[scheduler.Stop](b.step(scheduler.Withdrawn{Job: "a", Ticket: 7}))), 2)
 }
 
+// A cancelled job was answered as unfinished, after which callers submit it again.
+func TestCancelledJobIsToldSo(t *testing.T) {
+	is := is.New(t)
+	b := newBench(1)
+	b.step(b.job("a", 2))
+	out := b.step(scheduler.Cancelled{Job: "a"})
+	is.Equal(len(find[scheduler.Stop](out)), 2)
+	is.Equal(find[scheduler.Answer](out)[0].Outcome, work.Cancelled)
+}
+
 func TestLostOrderIsFoundByTheGreeting(t *testing.T) {
 	is := is.New(t)
 	b := newBench(1)
--- a/wire/agatevalvev1/agatevalvev1connect/runs.connect.go
+++ b/wire/agatevalvev1/agatevalvev1connect/runs.connect.go
@@ -37,6 +37,8 @@
 	RunServiceLinkProcedure = "/agatevalve.v1.RunService/Link"
 	// RunServiceNewestProcedure is the fully-qualified name of the RunService's Newest RPC.
 	RunServiceNewestProcedure = "/agatevalve.v1.RunService/Newest"
+	// RunServiceFindProcedure is the fully-qualified name of the RunService's Find RPC.
+	RunServiceFindProcedure = "/agatevalve.v1.RunService/Find"
 )
 
 // RunServiceClient is a client for the agatevalve.v1.RunService service.
@@ -45,6 +47,8 @@
 	Link(context.Context) *connect.BidiStreamForClient[agatevalvev1.RunReports, agatevalvev1.RunOrders]
 	// Newest returns the newest configuration and the entries that this entry knows of.
 	Newest(context.Context, *connect.Request[agatevalvev1.NewestRequest]) (*connect.Response[agatevalvev1.NewestResponse], error)
+	// Find tells whether this entry runs a job, and stops it when asked to.
+	Find(context.Context, *connect.Request[agatevalvev1.FindRequest]) (*connect.Response[agatevalvev1.FindResponse], error)
 }
 
 // NewRunServiceClient constructs a client for the agatevalve.v1.RunService service. By default, it
@@ -70,6 +74,12 @@
 			connect.WithSchema(runServiceMethods.ByName("Newest")),
 			connect.WithClientOptions(opts...),
 		),
+		find: connect.NewClient[agatevalvev1.FindRequest, agatevalvev1.FindResponse](
+			httpClient,
+			baseURL+RunServiceFindProcedure,
+			connect.WithSchema(runServiceMethods.ByName("Find")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -77,6 +87,7 @@
 type runServiceClient struct {
 	link   *connect.Client[agatevalvev1.RunReports, agatevalvev1.RunOrders]
 	newest *connect.Client[agatevalvev1.NewestRequest, agatevalvev1.NewestResponse]
+	find   *connect.Client[agatevalvev1.FindRequest, agatevalvev1.FindResponse]
 }
 
 // Link calls agatevalve.v1.RunService.Link.
@@ -89,12 +100,19 @@
 	return c.newest.CallUnary(ctx, req)
 }
 
+// Find calls agatevalve.v1.RunService.Find.
+func (c *runServiceClient) Find(ctx context.Context, req *connect.Request[agatevalvev1.FindRequest]) (*connect.Response[agatevalvev1.FindResponse], error) {
+	return c.find.CallUnary(ctx, req)
+}
+
 // RunServiceHandler is an implementation of the agatevalve.v1.RunService service.
 type RunServiceHandler interface {
 	// Link carries orders to one agent for as long as both live.
 	Link(context.Context, *connect.BidiStream[agatevalvev1.RunReports, agatevalvev1.RunOrders]) error
 	// Newest returns the newest configuration and the entries that this entry knows of.
 	Newest(context.Context, *connect.Request[agatevalvev1.NewestRequest]) (*connect.Response[agatevalvev1.NewestResponse], error)
+	// Find tells whether this entry runs a job, and stops it when asked to.
+	Find(context.Context, *connect.Request[agatevalvev1.FindRequest]) (*connect.Response[agatevalvev1.FindResponse], error)
 }
 
 // NewRunServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -116,12 +134,20 @@
 		connect.WithSchema(runServiceMethods.ByName("Newest")),
 		connect.WithHandlerOptions(opts...),
 	)
+	runServiceFindHandler := connect.NewUnaryHandler(
+		RunServiceFindProcedure,
+		svc.Find,
+		connect.WithSchema(runServiceMethods.ByName("Find")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/agatevalve.v1.RunService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case RunServiceLinkProcedure:
 			runServiceLinkHandler.ServeHTTP(w, r)
 		case RunServiceNewestProcedure:
 			runServiceNewestHandler.ServeHTTP(w, r)
+		case RunServiceFindProcedure:
+			runServiceFindHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -138,3 +164,7 @@
 func (UnimplementedRunServiceHandler) Newest(context.Context, *connect.Request[agatevalvev1.NewestRequest]) (*connect.Response[agatevalvev1.NewestResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("agatevalve.v1.RunService.Newest is not implemented"))
 }
+
+func (UnimplementedRunServiceHandler) Find(context.Context, *connect.Request[agatevalvev1.FindRequest]) (*connect.Response[agatevalvev1.FindResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("agatevalve.v1.RunService.Find is not implemented"))
+}
