scheduler, supervisor: Keep agents, entries and runs in order, and sums of what was placed

Each step sorted all agents, entries and runs, and each placing added up all runs of each agent.

supervisor: an order for a task that is at work for another entry made the agent forget the first run and its room (TestOrderOfAnotherEntryLeavesTheRunAlone, which failed before).

--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"agatevalve/common/work"
@@ -18,8 +20,14 @@
 	usable   bool
 	leaving  bool
 	load     work.Load
-	// runs are this entry's, placed and not ended.
-	runs map[work.Run]*task
+	// runs are this entry's, placed and not ended, and takes is the time that
+	// they were expected to take, added up.
+	runs  map[work.Run]*task
+	takes time.Duration
+	// unheard is the room of the runs that the load does not include yet, and
+	// unheardTakes their part of takes.
+	unheard      work.Room
+	unheardTakes time.Duration
 	// stopping are runs that were told to stop and have not ended.
 	stopping map[work.Run]work.Room
 	// acked is the newest end that was used.
@@ -64,7 +72,7 @@
 	a := c.agents[ev.Agent]
 	if a == nil {
 		a = &agent{key: ev.Agent, runs: make(map[work.Run]*task), stopping: make(map[work.Run]work.Room)}
-		c.agents[ev.Agent] = a
+		c.addAgent(a)
 	}
 	if ev.Link < a.link {
 		return
@@ -82,7 +90,7 @@
 			c.takeReport(now, a, work.Report{Run: t.run(), State: work.Refused, Reason: work.ReasonUnstarted})
 		}
 	}
-	for run := range a.stopping {
+	for _, run := range slices.SortedFunc(maps.Keys(a.stopping), work.Compare) {
 		if held[run] {
 			c.emit(Stop{Agent: a.key, Link: a.link, Run: run})
 		} else {
@@ -123,6 +131,34 @@
 	c.acknowledge(a)
 }
 
+// add notes a task that was placed here.
+func (a *agent) add(t *task) {
+	a.runs[t.order.Run] = t
+	a.takes += t.takes
+	a.unheard = a.unheard.Plus(t.order.Room)
+	a.unheardTakes += t.takes
+}
+
+// hear notes that the load includes a task.
+func (a *agent) hear(t *task) {
+	if t.heard {
+		return
+	}
+	t.heard = true
+	a.unheard = a.unheard.Minus(t.order.Room)
+	a.unheardTakes -= t.takes
+}
+
+// remove forgets a task whose run has ended, or is being stopped.
+func (a *agent) remove(t *task) {
+	a.hear(t)
+	delete(a.runs, t.order.Run)
+	a.takes -= t.takes
+}
+
+// serves reports whether the agent may be given work, now or in a moment.
+func (a *agent) serves() bool { return a.link != 0 && a.usable && !a.leaving && !a.minion.Draining }
+
 // describe takes what an agent says of its minion. An agent that lists its
 // minion's runs has stopped those of earlier agents, so theirs are lost.
 func (c *Core) describe(now time.Time, a *agent, m work.Minion, usable, leaving bool) {
@@ -134,10 +170,10 @@
 	if !usable {
 		return
 	}
-	for _, key := range c.agentKeys() {
-		if key.Name == a.key.Name && key.Incarnation < a.key.Incarnation {
-			c.loseRuns(now, c.agents[key], "its agent was replaced")
-			delete(c.agents, key)
+	for _, o := range slices.Clone(c.ordered) {
+		if o.key.Name == a.key.Name && o.key.Incarnation < a.key.Incarnation {
+			c.loseRuns(now, o, "its agent was replaced")
+			c.dropAgent(o)
 		}
 	}
 }
@@ -153,8 +189,8 @@
 // expireAgents takes the runs at agents for lost that have been away so long
 // that nothing of them can be at work.
 func (c *Core) expireAgents(now time.Time) {
-	for _, key := range c.agentKeys() {
-		a := c.agents[key]
+	var forgotten []*agent
+	for _, a := range c.ordered {
 		if a.detached.IsZero() {
 			continue
 		}
@@ -163,9 +199,12 @@
 			c.loseRuns(now, a, "its agent is away")
 		}
 		if away > forgetAgents && len(a.runs) == 0 {
-			delete(c.agents, key)
+			forgotten = append(forgotten, a)
 		}
 	}
+	for _, a := range forgotten {
+		c.dropAgent(a)
+	}
 }
 
 func (c *Core) acknowledge(a *agent) {
@@ -184,7 +223,7 @@
 		c.takeStranger(a, report)
 		return
 	}
-	t.heard = true
+	a.hear(t)
 	c.changed = true
 	if !report.State.Ended() {
 		if report.Left > 0 {
@@ -192,7 +231,7 @@
 		}
 		return
 	}
-	delete(a.runs, report.Run)
+	a.remove(t)
 	t.at = nil
 	c.emit(Note{
 		Text: "A run ended", Job: t.job.ID, Run: report.Run, Agent: a.key, State: report.State, Reason: string(report.Reason),
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"agatevalve/common/heap"
 	"agatevalve/common/work"
 )
 
@@ -43,9 +44,15 @@
 type Core struct {
 	o      Options
 	agents map[Agent]*agent
-	jobs   map[string]*job
+	// ordered are the agents by name and incarnation.
+	ordered []*agent
+	jobs    map[string]*job
+	// ends are the deadlines of jobs, also of some that have been answered.
+	ends *heap.Heap[ending]
 	// waiting holds the tasks that are at no agent.
-	waiting  []*task
+	waiting []*task
+	// planned is when waiting tasks were last given places.
+	planned  time.Time
 	works    estimator
 	commands []Command
 	// changed is true when a waiting task may find a place that it did not before.
@@ -127,7 +134,10 @@
 	if o.QueueAhead == 0 {
 		o.QueueAhead = DefaultQueueAhead
 	}
-	return &Core{o: o, agents: make(map[Agent]*agent), jobs: make(map[string]*job), works: newEstimator()}
+	return &Core{
+		o: o, agents: make(map[Agent]*agent), jobs: make(map[string]*job), works: newEstimator(),
+		ends: heap.New(func(a, b ending) bool { return a.at.Before(b.at) }),
+	}
 }
 
 // Step lets time pass and takes events in their order.
@@ -162,8 +172,8 @@
 // Usable counts the agents that may be given work.
 func (c *Core) Usable() int {
 	usable := 0
-	for _, a := range c.agents {
-		if a.link != 0 && a.usable && !a.leaving && !a.minion.Draining {
+	for _, a := range c.ordered {
+		if a.serves() {
 			usable++
 		}
 	}
@@ -172,14 +182,17 @@
 
 func (c *Core) emit(command Command) { c.commands = append(c.commands, command) }
 
-// agentKeys returns the agents in a fixed order.
-func (c *Core) agentKeys() []Agent {
-	keys := make([]Agent, 0, len(c.agents))
-	for k := range c.agents {
-		keys = append(keys, k)
-	}
-	slices.SortFunc(keys, compareAgents)
-	return keys
+// addAgent keeps a new agent in order.
+func (c *Core) addAgent(a *agent) {
+	c.agents[a.key] = a
+	at, _ := slices.BinarySearchFunc(c.ordered, a.key, func(o *agent, key Agent) int { return compareAgents(o.key, key) })
+	c.ordered = slices.Insert(c.ordered, at, a)
+}
+
+// dropAgent forgets an agent that has no runs.
+func (c *Core) dropAgent(a *agent) {
+	delete(c.agents, a.key)
+	c.ordered = slices.DeleteFunc(c.ordered, func(o *agent) bool { return o == a })
 }
 
 func compareAgents(a, b Agent) int {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -29,6 +29,14 @@
 	longest time.Duration
 	// objective is when the answer stops being on time, as far as the work is known.
 	objective time.Time
+	// stuck is the plan in which a task of the job found no place.
+	stuck time.Time
+}
+
+// ending is the deadline of a job.
+type ending struct {
+	at  time.Time
+	job *job
 }
 
 // aim sets the latency objective by the work of the longest task.
@@ -73,8 +81,10 @@
 	movedFrom []string
 	// placedAt is when the latest run was sent.
 	placedAt time.Time
-	// order is what the agent was sent.
+	// order is what the agent was sent, and takes the time that its run was
+	// then expected to take there.
 	order work.Order
+	takes time.Duration
 }
 
 // Event is something that happened to an entry.
@@ -111,6 +121,7 @@
 		return
 	}
 	c.jobs[j.ID] = j
+	c.ends.Push(ending{at: j.Deadline, job: j})
 	j.tasks = make([]*task, j.Count)
 	for i := range j.tasks {
 		j.tasks[i] = &task{job: j, index: i}
@@ -171,7 +182,7 @@
 func (c *Core) stopRun(t *task) {
 	a := t.at
 	run := t.run()
-	delete(a.runs, run)
+	a.remove(t)
 	a.stopping[run] = t.order.Room
 	if a.link != 0 {
 		c.emit(Stop{Agent: a.key, Link: a.link, Run: run})
@@ -179,6 +190,10 @@
 	t.at = nil
 }
 
+// returned reports whether a run of the task has failed or was moved, so that
+// some agents suit it less than its siblings.
+func (t *task) returned() bool { return len(t.failedAt) > 0 || len(t.movedFrom) > 0 }
+
 func (t *task) run() work.Run {
 	return work.Run{Task: work.Task{Job: t.job.ID, Index: t.index}, Number: t.number}
 }
@@ -186,8 +201,8 @@
 // expireJobs gives up the jobs whose time is over, or can't suffice.
 func (c *Core) expireJobs(now time.Time) {
 	var over []*job
-	for _, j := range c.jobs {
-		if !now.Before(j.Deadline) {
+	for c.ends.Len() > 0 && !now.Before(c.ends.Top().at) {
+		if j := c.ends.Pop().job; c.jobs[j.ID] == j {
 			over = append(over, j)
 		}
 	}
--- a/scheduler/moving.go
+++ b/scheduler/moving.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"agatevalve/common/work"
@@ -73,7 +74,7 @@
 // another agent than the one given, which may be nil.
 func (c *Core) soonest(now time.Time, j *job, sound time.Duration, except *agent) time.Duration {
 	best := time.Duration(math.MaxInt64 / 2)
-	for _, a := range c.agents {
+	for _, a := range c.ordered {
 		if a == except || a.minion.Service != j.Service || !a.open(now) || !a.fits(j) {
 			continue
 		}
@@ -92,7 +93,7 @@
 
 // noteReach keeps the time until which agents are expected.
 func (c *Core) noteReach(now time.Time) {
-	reaches := c.Usable() > 0
+	reaches := slices.ContainsFunc(c.ordered, (*agent).serves)
 	if c.awaitUntil.IsZero() || c.reached && !reaches {
 		c.awaitUntil = now.Add(awaitAgents)
 	}
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -28,6 +28,9 @@
 	mostPart = 1.7
 	// returnFactor makes a minion look slower to a task that failed or was slow there.
 	returnFactor = 4
+	// planEvery is how often waiting tasks are tried without news of an agent,
+	// whose pauses end without any; below the shortest of those.
+	planEvery = 10 * time.Millisecond
 	// otherRack is by how much longer a task takes away from its data.
 	otherRack = 1.5
 	// meanWait is the part of a queued run's work after which room is free,
@@ -40,7 +43,7 @@
 func (c *Core) refusal(now time.Time, j *job) (reason string, retry time.Duration) {
 	best := time.Duration(-1)
 	fits := false
-	for _, a := range c.agents {
+	for _, a := range c.ordered {
 		if a.minion.Service != j.Service {
 			continue
 		}
@@ -73,10 +76,10 @@
 
 // placeWaiting sends waiting tasks to agents, most urgent first.
 func (c *Core) placeWaiting(now time.Time) {
-	if len(c.waiting) == 0 || !c.changed {
+	if len(c.waiting) == 0 || !c.changed && now.Sub(c.planned) < planEvery {
 		return
 	}
-	c.changed = false
+	c.changed, c.planned = false, now
 	slices.SortStableFunc(c.waiting, func(a, b *task) int { return compareUrgency(now, a, b) })
 	waiting := c.waiting
 	c.waiting = nil
@@ -84,12 +87,19 @@
 		if c.jobs[t.job.ID] != t.job {
 			continue
 		}
-		a := c.choose(now, t)
-		if a == nil {
+		if t.job.stuck.Equal(now) {
 			c.waiting = append(c.waiting, t)
 			continue
 		}
-		c.place(now, t, a)
+		a, none := c.choose(now, t)
+		if a != nil {
+			c.place(now, t, a)
+			continue
+		}
+		c.waiting = append(c.waiting, t)
+		if none || !t.returned() {
+			t.job.stuck = now // Tasks of one job are alike, so the next ones find none either.
+		}
 	}
 }
 
@@ -123,29 +133,31 @@
 	queuedEnd time.Duration
 }
 
-// choose returns the agent that a task goes to, or nil while it waits. Agents
-// with a queue are given nothing more, so that tasks can still go elsewhere. A
-// free agent that is too slow for the task is not taken either while a faster
-// one with a queue would still end it in time.
-func (c *Core) choose(now time.Time, t *task) *agent {
+// choose returns the agent that a task goes to, or nil while it waits, and
+// whether none had room. Agents with a queue are given nothing more, so that
+// tasks can still go elsewhere. A free agent that is too slow for the task is
+// not taken either while a faster one with a queue would still end it in time.
+func (c *Core) choose(now time.Time, t *task) (chosen *agent, none bool) {
 	found := c.weigh(now, t)
-	if found.soonest != nil && found.spare != nil && found.soonest.usedShare() > reserveAbove {
-		return found.spare
+	if found.soonest == nil {
+		return nil, true
+	}
+	if found.spare != nil && found.soonest.usedShare() > reserveAbove {
+		return found.spare, false
 	}
-	if found.soonest == nil || found.soonestEnd <= found.queuedEnd {
-		return found.soonest
+	if found.soonestEnd <= found.queuedEnd {
+		return found.soonest, false
 	}
 	if aim := t.job.aimedEnd(now); now.Add(found.soonestEnd).After(aim) && !now.Add(found.queuedEnd).After(aim) {
-		return nil
+		return nil, false
 	}
-	return found.soonest
+	return found.soonest, false
 }
 
 // weigh looks at all agents that may be given the task.
 func (c *Core) weigh(now time.Time, t *task) candidates {
 	found := candidates{soonestEnd: math.MaxInt64, spareCost: math.Inf(1), queuedEnd: math.MaxInt64}
-	for _, key := range c.agentKeys() {
-		a := c.agents[key]
+	for _, a := range c.ordered {
 		if a.minion.Service != t.job.Service || !a.open(now) || !a.fits(t.job) || a.crowded(t.job) {
 			continue
 		}
@@ -202,12 +214,12 @@
 	if a.ejected() {
 		a.trial = now.Add(max(a.pause, firstTrial))
 	}
-	expected := a.expectedWork(t.job)
+	t.takes = a.expectedWork(t.job)
 	t.order = work.Order{
 		Run: t.run(), Room: t.job.Room, Label: t.job.Label, Spec: t.job.Spec, MostBeside: t.job.MostBeside,
-		StartBefore: t.job.objective.Add(-expected), EndBefore: t.job.Deadline, Work: t.job.expected,
+		StartBefore: t.job.objective.Add(-t.takes), EndBefore: t.job.Deadline, Work: t.job.expected,
 	}
-	a.runs[t.order.Run] = t
+	a.add(t)
 	c.emit(Place{Agent: a.key, Link: a.link, Order: t.order})
 }
 
@@ -240,13 +252,7 @@
 
 // committed is the room that all entries have taken, as far as is known.
 func (a *agent) committed() work.Room {
-	taken := a.load.Running.Plus(a.load.Queued)
-	for _, t := range a.runs {
-		if !t.heard {
-			taken = taken.Plus(t.job.Room)
-		}
-	}
-	return taken
+	return a.load.Running.Plus(a.load.Queued).Plus(a.unheard)
 }
 
 // wait is the expected time until a task of this size has room.
@@ -255,7 +261,7 @@
 	if over.CPU <= 0 && over.Memory <= 0 && over.Accelerators <= 0 {
 		return 0
 	}
-	ahead := a.load.QueuedWork + a.unheardWork()
+	ahead := a.load.QueuedWork + a.unheardTakes
 	share := float64(need.CPU) / float64(max(a.minion.Room.CPU, 1))
 	if share <= 0 {
 		share = 1
@@ -264,29 +270,11 @@
 	// share of the mean work.
 	mean := firstWork
 	if n := len(a.runs); n > 0 {
-		mean = a.meanWork()
+		mean = a.takes / time.Duration(n)
 	}
 	return time.Duration(share * (meanWait*float64(mean) + float64(ahead)))
 }
 
-func (a *agent) unheardWork() time.Duration {
-	total := time.Duration(0)
-	for _, t := range a.runs {
-		if !t.heard {
-			total += a.expectedWork(t.job)
-		}
-	}
-	return total
-}
-
-func (a *agent) meanWork() time.Duration {
-	total := time.Duration(0)
-	for _, t := range a.runs {
-		total += a.expectedWork(t.job)
-	}
-	return total / time.Duration(len(a.runs))
-}
-
 // expectedWork is the time that a task of the job takes at this minion.
 func (a *agent) expectedWork(j *job) time.Duration {
 	return a.timeOf(j, j.expected)
--- a/supervisor/core.go
+++ b/supervisor/core.go
@@ -90,9 +90,15 @@
 type Core struct {
 	o       Options
 	entries map[string]*entry
-	runs    map[work.Run]*run
-	// gone holds when runs ended that were at the minion, for keepGone.
-	gone map[work.Run]time.Time
+	// byName are the entries in the order of their names.
+	byName []*entry
+	runs   map[work.Run]*run
+	// byRun are the runs in the order of work.Compare.
+	byRun []*run
+	// gone holds when runs ended that were at the minion, for keepGone, and
+	// ended names them in the order of their ends.
+	gone  map[work.Run]time.Time
+	ended []work.Run
 	// used is the room of all runs that may be at work.
 	used work.Room
 
@@ -150,10 +156,9 @@
 // expire drops what its deadline, a silent entry or a lapsed lease has ended.
 func (c *Core) expire(now time.Time) {
 	c.expireEntries(now)
-	for run, at := range c.gone {
-		if now.Sub(at) > keepGone {
-			delete(c.gone, run)
-		}
+	for len(c.ended) > 0 && now.Sub(c.gone[c.ended[0]]) > keepGone {
+		delete(c.gone, c.ended[0])
+		c.ended = c.ended[1:]
 	}
 	if c.minion.lapsed(now) {
 		c.loseAll(now, "the lease has lapsed")
@@ -164,16 +169,20 @@
 }
 
 func (c *Core) expireEntries(now time.Time) {
-	for _, name := range c.entryNames() {
-		e := c.entries[name]
-		if c.holdsFor(name) && now.Sub(e.heard) > c.o.EntrySilence {
-			c.dropEntry(now, name, "the entry is silent")
+	forgotten := false
+	for _, e := range c.byName {
+		if e.holds > 0 && now.Sub(e.heard) > c.o.EntrySilence {
+			c.dropEntry(now, e.name, "the entry is silent")
 		}
 		e.forget(now)
-		if e.link == 0 && !c.holdsFor(name) && now.Sub(e.heard) > keepEnds {
-			delete(c.entries, name)
+		if e.link == 0 && e.holds == 0 && now.Sub(e.heard) > keepEnds {
+			delete(c.entries, e.name)
+			forgotten = true
 		}
 	}
+	if forgotten {
+		c.byName = slices.DeleteFunc(c.byName, func(e *entry) bool { return c.entries[e.name] != e })
+	}
 }
 
 // expireRun ends a run that can't end in time, and doubts a start that should
@@ -234,14 +243,20 @@
 	if r.phase != queued {
 		c.used = c.used.Minus(r.order.Room)
 		c.gone[r.order.Run] = now
+		c.ended = append(c.ended, r.order.Run)
 	}
-	delete(c.runs, r.order.Run)
+	c.drop(r)
 	report.Run = r.order.Run
-	e := c.entry(r.entry)
+	c.reportEnd(now, r.entry, report)
+}
+
+// reportEnd tells an entry of an end, and keeps it until it is acknowledged.
+func (c *Core) reportEnd(now time.Time, name string, report work.Report) {
+	e := c.entry(name)
 	e.lastEnd++
 	report.Number = e.lastEnd
 	e.ends = append(e.ends, keptEnd{report: report, at: now})
-	c.emit(Report{Entry: r.entry, Report: report})
+	c.emit(Report{Entry: name, Report: report})
 }
 
 // loseAll ends all that may be at work, since the minion has lost it.
@@ -270,22 +285,36 @@
 
 // resumeFromPause distrusts all links: what waits in them may be old.
 func (c *Core) resumeFromPause() {
-	for _, name := range c.entryNames() {
-		e := c.entries[name]
+	for _, e := range c.byName {
 		if e.link != 0 {
-			c.emit(CutLink{Entry: name, Link: e.link})
+			c.emit(CutLink{Entry: e.name, Link: e.link})
 			e.link = 0
 		}
 	}
 	c.emit(Note{Text: "Distrusted all links after a pause of the process"})
 }
 
-// ordered returns the runs in a fixed order.
-func (c *Core) ordered() []*run {
-	runs := make([]*run, 0, len(c.runs))
-	for _, r := range c.runs {
-		runs = append(runs, r)
+// ordered returns the runs in a fixed order, also while some of them end.
+func (c *Core) ordered() []*run { return slices.Clone(c.byRun) }
+
+// add notes a new run.
+func (c *Core) add(r *run) {
+	c.runs[r.order.Run] = r
+	c.entry(r.entry).holds++
+	at, _ := c.find(r.order.Run)
+	c.byRun = slices.Insert(c.byRun, at, r)
+}
+
+// drop forgets a run.
+func (c *Core) drop(r *run) {
+	delete(c.runs, r.order.Run)
+	c.entry(r.entry).holds--
+	if at, found := c.find(r.order.Run); found {
+		c.byRun = slices.Delete(c.byRun, at, at+1)
 	}
-	slices.SortFunc(runs, func(a, b *run) int { return work.Compare(a.order.Run, b.order.Run) })
-	return runs
+}
+
+// find returns where a run stands in byRun, or would stand.
+func (c *Core) find(key work.Run) (int, bool) {
+	return slices.BinarySearchFunc(c.byRun, key, func(r *run, key work.Run) int { return work.Compare(r.order.Run, key) })
 }
--- a/supervisor/entry.go
+++ b/supervisor/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"agatevalve/common/work"
@@ -10,6 +11,9 @@
 // entry is what the agent knows of one run of an entry. Its key names the
 // entry's incarnation too.
 type entry struct {
+	name string
+	// holds counts the runs that are held for the entry.
+	holds int
 	// link is the open link; 0 for none.
 	link uint64
 	// heard is when the entry last sent a frame over an open link.
@@ -38,30 +42,14 @@
 func (c *Core) entry(name string) *entry {
 	e := c.entries[name]
 	if e == nil {
-		e = &entry{}
+		e = &entry{name: name}
 		c.entries[name] = e
+		at, _ := slices.BinarySearchFunc(c.byName, name, func(o *entry, key string) int { return strings.Compare(o.name, key) })
+		c.byName = slices.Insert(c.byName, at, e)
 	}
 	return e
 }
 
-func (c *Core) entryNames() []string {
-	names := make([]string, 0, len(c.entries))
-	for name := range c.entries {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
-func (c *Core) holdsFor(name string) bool {
-	for _, r := range c.runs {
-		if r.entry == name {
-			return true
-		}
-	}
-	return false
-}
-
 // resume returns the reports of all runs that the agent knows for an entry.
 func (c *Core) resume(name string) []work.Report {
 	var reports []work.Report
@@ -84,7 +72,7 @@
 // load adds up what the minion's room is used for.
 func (c *Core) load() work.Load {
 	l := work.Load{Running: c.used, Slowness: c.pace.told()}
-	for _, r := range c.runs {
+	for _, r := range c.byRun {
 		if r.phase == queued {
 			l.Queued = l.Queued.Plus(r.order.Room)
 			l.QueuedWork += c.expected(r.order)
@@ -96,11 +84,10 @@
 // reportLoad tells each entry of a load that has changed since it was told.
 func (c *Core) reportLoad() {
 	load := c.load()
-	for _, name := range c.entryNames() {
-		e := c.entries[name]
+	for _, e := range c.byName {
 		if e.link != 0 && e.told != load {
 			e.told = load
-			c.emit(ReportLoad{Entry: name, Load: load})
+			c.emit(ReportLoad{Entry: e.name, Load: load})
 		}
 	}
 }
--- a/supervisor/events.go
+++ b/supervisor/events.go
@@ -173,13 +173,11 @@
 	if c.runs[o.Run] != nil && c.runs[o.Run].entry == entry {
 		return
 	}
-	r := &run{order: o, entry: entry, phase: queued}
-	reason := c.refusal(o)
-	if reason != work.ReasonNone {
-		c.end(now, r, work.Report{State: work.Refused, Reason: reason})
+	if reason := c.refusal(o); reason != work.ReasonNone {
+		c.reportEnd(now, entry, work.Report{Run: o.Run, State: work.Refused, Reason: reason})
 		return
 	}
-	c.runs[o.Run] = r
+	c.add(&run{order: o, entry: entry, phase: queued})
 }
 
 // refusal returns why an order can't be taken, or ReasonNone.
@@ -192,7 +190,7 @@
 	case !c.minion.Room.Holds(o.Room):
 		return work.ReasonUnfit
 	}
-	for _, r := range c.runs {
+	for _, r := range c.byRun {
 		if r.order.Run.Task == o.Run.Task {
 			return work.ReasonBusy
 		}
@@ -246,9 +244,9 @@
 
 // tellMinion tells all entries what the minion is now.
 func (c *Core) tellMinion() {
-	for _, name := range c.entryNames() {
-		if c.entries[name].link != 0 {
-			c.emit(ReportMinion{Entry: name, Minion: c.minion.Minion, Usable: c.minion.usable(), Leaving: c.leaving})
+	for _, e := range c.byName {
+		if e.link != 0 {
+			c.emit(ReportMinion{Entry: e.name, Minion: c.minion.Minion, Usable: c.minion.usable(), Leaving: c.leaving})
 		}
 	}
 }
--- a/supervisor/starting.go
+++ b/supervisor/starting.go
@@ -46,7 +46,7 @@
 func (c *Core) next(now time.Time) *run {
 	free := c.minion.Room.Minus(c.used)
 	var best *run
-	for _, r := range c.runs {
+	for _, r := range c.byRun {
 		if r.phase != queued || now.Before(r.notBefore) || !free.Holds(r.order.Room) || c.crowded(r) {
 			continue
 		}
@@ -90,7 +90,7 @@
 		return false
 	}
 	beside := 0
-	for _, o := range c.runs {
+	for _, o := range c.byRun {
 		if o.phase != queued && o.order.Run.Job == r.order.Run.Job {
 			beside++
 		}
@@ -138,7 +138,7 @@
 // awaitsList reports whether a run was stopped that may never have started,
 // which only a newer list tells.
 func (c *Core) awaitsList(now time.Time) bool {
-	for _, r := range c.runs {
+	for _, r := range c.byRun {
 		if r.phase == doubtful && !r.stopTaken.IsZero() && r.stopTaken.Before(now) {
 			return true
 		}
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -278,3 +278,23 @@
 	greet = find[supervisor.Greet](b.step(supervisor.LinkOpened{Entry: entry, Link: 3}))[0]
 	is.Equal(len(greet.Reports), 0)
 }
+
+// A job came again at another entry, whose runs have the same numbers. Refusing
+// its order forgot the run of the first entry, and the room of that for good.
+func TestOrderOfAnotherEntryLeavesTheRunAlone(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	b.step(b.order("a", 9000))
+	b.step(supervisor.StartAnswered{Run: run("a"), Incarnation: 1, Answer: supervisor.StartTaken})
+	b.step(supervisor.LinkOpened{Entry: "entry-2/1", Link: 2})
+	again := b.order("a", 9000)
+	again.Entry, again.Link = "entry-2/1", 2
+	out := b.step(again)
+	is.Equal(ends(out)[0].Reason, work.ReasonBusy)
+	out = b.list([]supervisor.ListedRun{{Run: run("a"), Percent: 2}}, nil)
+	is.Equal(len(find[supervisor.StopRun](out)), 0)
+	out = b.list(nil, []supervisor.ListedEnd{{Number: 1, Run: run("a"), State: work.Done}})
+	is.Equal(ends(out)[0].State, work.Done)
+	is.Equal(find[supervisor.Report](out)[0].Entry, entry)
+	is.Equal(len(find[supervisor.StartRun](b.step(b.order("b", 9000)))), 1) // All room is free again.
+}
