--- a/commands/commands.go
+++ b/commands/commands.go
@@ -43,6 +43,7 @@
 	Undrain  UndrainCommand  `cmd:"" help:"Let a drained minion or worker take tasks again."`
 	Settings SettingsCommand `cmd:"" help:"Check settings files."`
 	Measure  MeasureCommand  `cmd:"" help:"Measure how tasks are placed under load and faults; for developers."`
+	Rehearse RehearseCommand `cmd:"" help:"Play days of jobs of leased tasks in virtual time, beside simpler ways to place them; for developers."`
 	Trace    TraceCommand    `cmd:"" help:"Tell the story of one job from the logs of entries and agents."`
 	Version  VersionCommand  `cmd:"" help:"Show the version."`
 }
--- /dev/null
+++ b/commands/rehearse.go
@@ -0,0 +1,131 @@
+package commands
+
+import (
+	"fmt"
+	"strconv"
+
+	"agatevalve/common/fault"
+	"agatevalve/rehearser"
+)
+
+// RehearseCommand plays days of jobs of leased tasks.
+type RehearseCommand struct {
+	Day   string `help:"Day to play, or all." default:"all"`
+	Seeds int    `help:"How many seeds to play of each day, from 1." default:"2"`
+}
+
+// Help lists the days.
+func (*RehearseCommand) Help() string {
+	help := "The shipped cores of entries and agents run under virtual time against emulated callers and minions, beside two simpler ways to place tasks. Worth is what answers earned over what they could: a late one earns a fifth. The exit code is 1 if a promise to callers was broken.\n\nDays:\n"
+	for _, d := range allDays(1) {
+		help += fmt.Sprintf("  %s: %s\n", d.Name, d.Answers)
+	}
+	return help
+}
+
+// rehearsed are the figures of one day and policy, added up over seeds.
+type rehearsed struct {
+	Day    string  `json:"day"`
+	Policy string  `json:"policy"`
+	Worth  float64 `json:"worth"`
+	Jobs   int     `json:"jobs"`
+	OnTime int     `json:"on-time"`
+	Late   int     `json:"late"`
+	// Refused jobs have not run, Unfinished ones were given up.
+	Refused    int      `json:"refused"`
+	Unfinished int      `json:"unfinished"`
+	Failed     int      `json:"failed"`
+	Starts     int      `json:"starts"`
+	Wasted     int      `json:"wasted"`
+	Frames     int      `json:"frames"`
+	Broken     []string `json:"broken"`
+}
+
+// Run plays the days and prints their figures.
+func (r *RehearseCommand) Run(c *console) error {
+	if r.Seeds < 1 {
+		return fault.New(fault.Invalid, "use 1 or more", "%d seeds", r.Seeds)
+	}
+	var rows []rehearsed
+	broken := 0
+	for i, named := range allDays(1) {
+		if r.Day != "all" && r.Day != named.Name {
+			continue
+		}
+		for _, policy := range []rehearser.Policy{rehearser.Product, rehearser.LeastLoaded, rehearser.Random} {
+			row := r.play(i, named.Name, policy)
+			rows = append(rows, row)
+			if policy == rehearser.Product {
+				broken += len(row.Broken)
+			}
+		}
+	}
+	if len(rows) == 0 {
+		return fault.New(fault.Invalid, "see agatevalve rehearse --help", "no day is called %q", r.Day)
+	}
+	if err := writeRehearsed(c, rows); err != nil {
+		return err
+	}
+	if broken > 0 {
+		return fault.New(fault.Internal, "report the lines above with the seed", "%d promises were broken", broken)
+	}
+	return nil
+}
+
+// allDays returns the days by seed.
+func allDays(seed uint64) []rehearser.Named {
+	grown := rehearser.Named{Name: "grown", Answers: "13 entries and 71 minions", Day: rehearser.Grown(seed)}
+	return append(rehearser.Days(seed), grown)
+}
+
+// play adds up one day over the seeds.
+func (r *RehearseCommand) play(day int, name string, policy rehearser.Policy) rehearsed {
+	row := rehearsed{Day: name, Policy: string(policy), Broken: []string{}}
+	if policy == rehearser.Product {
+		row.Policy = "agatevalve"
+	}
+	for seed := 1; seed <= r.Seeds; seed++ {
+		d := allDays(uint64(seed))[day].Day
+		d.Policy = policy
+		result := rehearser.Play(d)
+		row.Worth += result.Worth / float64(r.Seeds)
+		row.Jobs += result.Jobs
+		row.OnTime += result.OnTime
+		row.Late += result.Late
+		row.Refused += result.Refused
+		row.Unfinished += result.Unfinished
+		row.Failed += result.Failed
+		row.Starts += result.Starts
+		row.Wasted += result.Wasted
+		row.Frames += result.Frames
+		row.Broken = append(row.Broken, result.Broken...)
+	}
+	return row
+}
+
+func writeRehearsed(c *console, rows []rehearsed) error {
+	if c.json() {
+		return c.encode(rows)
+	}
+	table := [][]string{{
+		"DAY", "POLICY", "WORTH", "JOBS", "ON-TIME", "LATE", "REFUSED", "UNFINISHED", "FAILED", "STARTS", "WASTED", "FRAMES", "BROKEN",
+	}}
+	for _, r := range rows {
+		table = append(table, []string{
+			r.Day, r.Policy, fmt.Sprintf("%.3f", r.Worth), strconv.Itoa(r.Jobs), strconv.Itoa(r.OnTime), strconv.Itoa(r.Late),
+			strconv.Itoa(r.Refused), strconv.Itoa(r.Unfinished), strconv.Itoa(r.Failed), strconv.Itoa(r.Starts),
+			strconv.Itoa(r.Wasted), strconv.Itoa(r.Frames), strconv.Itoa(len(r.Broken)),
+		})
+	}
+	if err := c.table(table); err != nil {
+		return err
+	}
+	for _, r := range rows {
+		for _, line := range r.Broken {
+			if err := c.print("broken: %s, %s: %s\n", r.Day, r.Policy, line); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- a/coupler/coupler.go
+++ b/coupler/coupler.go
@@ -11,15 +11,16 @@
 )
 
 const (
-	// busyPing is the pause after which a link in use is probed; four make the
-	// silence that ends it.
-	busyPing = 100 * time.Millisecond
+	// busyPing is the pause after which a link in use is probed; silentPings make
+	// the silence that ends it, below the silence after which an agent stops the
+	// runs of an entry.
+	busyPing = 200 * time.Millisecond
 	// idlePing is the pause for links that have carried no work for idleAfter.
 	idlePing = 600 * time.Millisecond
 	// idleAfter is above the longest deadline of sub-second tasks.
 	idleAfter = 8 * time.Second
 	// silentPings is how many missed probes end a link.
-	silentPings = 4
+	silentPings = 3
 	// ringSize caps the frames that wait for one link.
 	ringSize = 4096
 	// messageBytes caps one frame.
--- a/coupler/hub.go
+++ b/coupler/hub.go
@@ -54,6 +54,10 @@
 	cancel context.CancelCauseFunc
 	events func(scheduler.Event) bool
 
+	// acked is the newest end that the entry has used. It goes along with the
+	// next frame, as agents only drop ends by it.
+	acked atomic.Uint64
+
 	mu sync.Mutex
 	// closed is true once the end of the link was told; no event follows it.
 	closed bool
@@ -90,7 +94,14 @@
 	h.mu.Lock()
 	k := h.links[link]
 	h.mu.Unlock()
-	if k != nil && !k.out.Offer(command) {
+	if k == nil {
+		return
+	}
+	if c, isAck := command.(scheduler.Acknowledge); isAck {
+		k.acked.Store(c.Acked)
+		return
+	}
+	if !k.out.Offer(command) {
 		k.cancel(errSilent) // The ring is full, so the agent does not read.
 	}
 }
@@ -193,7 +204,7 @@
 	ev := scheduler.Reported{Agent: agent, Link: number, Reports: reports}
 	if frame.GetLoad() != nil {
 		load := loadFromWire(frame.GetLoad())
-		ev.Load = &load
+		ev.Load, ev.Taken = &load, frame.GetTaken()
 	}
 	if frame.GetMinion() != nil {
 		minion := minionFromWire(frame.GetMinion())
@@ -221,6 +232,7 @@
 		}
 		commands, _ = k.out.TakeAll(commands[:0])
 		frame, working := frameOf(commands)
+		frame.Acked = k.acked.Load()
 		if !greeted {
 			frame.From, greeted = encoder.ProcessToWire(h.o.Self), true
 		}
@@ -245,8 +257,6 @@
 			orders = append(orders, c.Order)
 		case scheduler.Stop:
 			frame.Stops = append(frame.Stops, runToWire(c.Run))
-		case scheduler.Acknowledge:
-			frame.Acked = max(frame.Acked, c.Acked)
 		}
 	}
 	ordersToWire(frame, orders, time.Now())
--- a/coupler/spokes.go
+++ b/coupler/spokes.go
@@ -339,7 +339,7 @@
 	case supervisor.Report:
 		frame.Reports = append(frame.Reports, reportToWire(c.Report))
 	case supervisor.ReportLoad:
-		frame.Load = loadToWire(c.Load)
+		frame.Load, frame.Taken = loadToWire(c.Load), c.Taken
 	case supervisor.ReportMinion:
 		frame.Minion, frame.Leaving = minionToWire(c.Minion, c.Usable), c.Leaving
 	}
--- a/emulator/leased.go
+++ b/emulator/leased.go
@@ -149,7 +149,8 @@
 	return running, slices.Clone(m.ended)
 }
 
-// NextEnd returns when the next run ends by itself if nothing changes.
+// NextEnd returns when the next run ends if nothing changes, by itself or with
+// its lease.
 func (m *LeasedMinion) NextEnd() (time.Time, bool) {
 	next := time.Duration(math.MaxInt64)
 	for _, r := range m.runs {
@@ -157,6 +158,9 @@
 			next = min(next, m.left(r))
 		}
 	}
+	if len(m.runs) > 0 && !m.o.EndlessLeases && m.until.After(m.at) {
+		next = min(next, m.until.Sub(m.at))
+	}
 	if next == math.MaxInt64 {
 		return time.Time{}, false
 	}
@@ -170,9 +174,6 @@
 		if end, some := m.NextEnd(); some && end.Before(next) {
 			next = end
 		}
-		if !m.o.EndlessLeases && len(m.runs) > 0 && m.until.After(m.at) && m.until.Before(next) {
-			next = m.until
-		}
 		if !next.After(m.at) {
 			next = m.at.Add(time.Nanosecond)
 		}
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -28,15 +28,27 @@
 	// unheardTakes their part of takes.
 	unheard      work.Room
 	unheardTakes time.Duration
+	// sent counts the orders of the open link, and pending are those that the
+	// load does not include yet, as they were sent.
+	sent    uint64
+	pending []pending
 	// stopping are runs that were told to stop and have not ended.
 	stopping map[work.Run]work.Room
-	// acked is the newest end that was used.
-	acked uint64
+	// acked is the newest end that was used, and ackTold what the link was told.
+	acked, ackTold uint64
 	// avoid is when the agent may be given work again after a refusal.
 	avoid time.Time
 	conduct
 }
 
+// pending is an order that the agent has not been heard of.
+type pending struct {
+	task *task
+	run  work.Run
+	// sent is the order's number on its link.
+	sent uint64
+}
+
 // LinkOpened brings the greeting of an agent.
 type LinkOpened struct {
 	Agent Agent
@@ -60,8 +72,10 @@
 	Agent   Agent
 	Link    uint64
 	Reports []work.Report
-	// Load is nil when it has not changed.
-	Load *work.Load
+	// Load is nil when it has not changed. Taken counts the orders of the link
+	// that it includes.
+	Load  *work.Load
+	Taken uint64
 	// Minion is nil when it has not changed; Usable and Leaving go with it.
 	Minion  *work.Minion
 	Usable  bool
@@ -84,7 +98,9 @@
 		held[report.Run] = true
 		c.takeReport(now, a, report)
 	}
+	a.sent, a.pending, a.ackTold = 0, nil, 0
 	for _, t := range sortedTasks(a.runs) {
+		a.hear(t)
 		if !held[t.run()] {
 			// The order never arrived, and the link that it was written to is closed.
 			c.takeReport(now, a, work.Report{Run: t.run(), State: work.Refused, Reason: work.ReasonUnstarted})
@@ -123,6 +139,7 @@
 	}
 	if ev.Load != nil {
 		a.load = *ev.Load
+		a.hearUpTo(ev.Taken)
 		c.changed = true
 	}
 	if ev.Minion != nil {
@@ -137,6 +154,18 @@
 	a.takes += t.takes
 	a.unheard = a.unheard.Plus(t.order.Room)
 	a.unheardTakes += t.takes
+	a.sent++
+	a.pending = append(a.pending, pending{task: t, run: t.order.Run, sent: a.sent})
+}
+
+// hearUpTo notes that the load includes the orders up to a number.
+func (a *agent) hearUpTo(taken uint64) {
+	for len(a.pending) > 0 && a.pending[0].sent <= taken {
+		if p := a.pending[0]; a.runs[p.run] == p.task {
+			a.hear(p.task)
+		}
+		a.pending = a.pending[1:]
+	}
 }
 
 // hear notes that the load includes a task.
@@ -208,7 +237,8 @@
 }
 
 func (c *Core) acknowledge(a *agent) {
-	if a.acked > 0 && a.link != 0 {
+	if a.acked > a.ackTold && a.link != 0 {
+		a.ackTold = a.acked
 		c.emit(Acknowledge{Agent: a.key, Link: a.link, Acked: a.acked})
 	}
 }
@@ -223,7 +253,6 @@
 		c.takeStranger(a, report)
 		return
 	}
-	a.hear(t)
 	c.changed = true
 	if !report.State.Ended() {
 		if report.Left > 0 {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -69,7 +69,7 @@
 	number int
 	// at is the agent that has the latest run; nil while the task waits.
 	at *agent
-	// heard is true once the agent has reported on the latest run.
+	// heard is true once the agent's load includes the latest run.
 	heard bool
 	// done is true once a run ended so.
 	done bool
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -305,3 +305,20 @@
 	is.Equal(len(find[scheduler.Place](b.pass(5*time.Millisecond))), 0)
 	is.Equal(len(find[scheduler.Place](b.pass(20*time.Millisecond))), 1) // Without news of the agent.
 }
+
+// The room of an order counts until the agent's load includes it, and no longer.
+func TestLoadCountsEachOrderOnce(t *testing.T) {
+	is := is.New(t)
+	b := newBench(1)
+	for i := range 10 {
+		is.Equal(len(find[scheduler.Place](b.step(b.job(fmt.Sprint("job-", i), 1)))), 1)
+	}
+	queue := work.Load{Running: work.Room{CPU: 9000}, QueuedWork: time.Second}
+	// The load includes the first nine, and with the tenth the minion is full.
+	b.step(scheduler.Reported{Agent: agent(0), Link: 1, Load: &queue, Taken: 9})
+	is.Equal(len(find[scheduler.Place](b.step(b.job("full", 1)))), 0)
+	// It includes all ten, one of which has ended: there is room for one.
+	b.step(scheduler.Cancelled{Job: "full"})
+	b.step(scheduler.Reported{Agent: agent(0), Link: 1, Load: &queue, Taken: 10})
+	is.Equal(len(find[scheduler.Place](b.step(b.job("fits", 1)))), 1)
+}
--- a/supervisor/answers.go
+++ b/supervisor/answers.go
@@ -37,7 +37,6 @@
 		return
 	}
 	r.phase = running
-	c.emit(Report{Entry: r.entry, Report: work.Report{Run: r.order.Run, State: work.Started}})
 }
 
 // startRefused takes an answer that proves that the run has not started.
@@ -188,6 +187,7 @@
 	}
 	m := &c.minion
 	m.holding = false
+	c.doubted = now
 	m.holdAfter = now.Add(min(holdAgainAfter<<min(m.failedHolds, mostDoublings), lastHoldAgain))
 	m.failedHolds++
 }
--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -30,6 +30,8 @@
 type ReportLoad struct {
 	Entry string
 	Load  work.Load
+	// Taken counts the orders of the entry's link that the load includes.
+	Taken uint64
 }
 
 // ReportMinion tells an entry of a change of the minion.
--- a/supervisor/core.go
+++ b/supervisor/core.go
@@ -5,6 +5,7 @@
 package supervisor
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -21,9 +22,12 @@
 	// are stopped.
 	DefaultEntrySilence = 800 * time.Millisecond
 	// DefaultHoldWait is how long the minion may hold back its answer to a
-	// renewal when no run ends. An answer that is lost hides all ends for this
-	// long.
-	DefaultHoldWait = 25 * time.Millisecond
+	// renewal when no run ends.
+	DefaultHoldWait = 100 * time.Millisecond
+	// doubtfulHoldWait takes its place for doubtFor after an order had no answer,
+	// since an answer that is lost hides all ends for this long.
+	doubtfulHoldWait = 25 * time.Millisecond
+	doubtFor         = 5 * time.Second
 	// idleHoldWait takes its place while nothing runs.
 	idleHoldWait = 200 * time.Millisecond
 	// pausedAfter is a gap between two steps that shows that the process stood
@@ -48,6 +52,8 @@
 	Lease        time.Duration
 	EntrySilence time.Duration
 	HoldWait     time.Duration
+	// QueuedShare is the part of the minion's room that runs may wait for.
+	QueuedShare float64
 }
 
 // phase is how far a run has come.
@@ -106,6 +112,8 @@
 	pace   pace
 	// answers tells how long the minion takes to answer orders.
 	answers answerTime
+	// doubted is when an order last had no answer.
+	doubted time.Time
 	// leaving is true once the agent takes no new work.
 	leaving bool
 	// stepped is when the core last stepped.
@@ -124,6 +132,9 @@
 	if o.HoldWait == 0 {
 		o.HoldWait = DefaultHoldWait
 	}
+	if o.QueuedShare == 0 {
+		o.QueuedShare = DefaultQueuedShare
+	}
 	return &Core{o: o, entries: make(map[string]*entry), runs: make(map[work.Run]*run), gone: make(map[work.Run]time.Time)}
 }
 
@@ -144,7 +155,7 @@
 	c.returnCrowded(now)
 	c.hold(now)
 	c.pace.rest(now)
-	c.reportLoad()
+	c.reportLoad(now)
 	return c.commands
 }
 
@@ -195,7 +206,7 @@
 	case r.phase == running && now.After(r.order.EndBefore):
 		c.stop(now, r)
 	case r.phase == starting && now.Sub(r.began) > c.answers.patience():
-		r.phase, r.stopAt = doubtful, now
+		r.phase, r.stopAt, c.doubted = doubtful, now, now
 	}
 }
 
@@ -225,10 +236,10 @@
 		r.stopSent, r.stopAt = true, now.Add(c.answers.patience())
 		c.emit(StopRun{Run: r.order.Run})
 	}
-	for task, at := range c.minion.strays {
-		if !now.Before(at) {
-			c.minion.strays[task] = now.Add(c.answers.patience())
-			c.emit(StopRun{Run: task})
+	for _, stray := range slices.SortedFunc(maps.Keys(c.minion.strays), work.Compare) {
+		if !now.Before(c.minion.strays[stray]) {
+			c.minion.strays[stray] = now.Add(c.answers.patience())
+			c.emit(StopRun{Run: stray})
 		}
 	}
 }
@@ -256,6 +267,7 @@
 	e.lastEnd++
 	report.Number = e.lastEnd
 	e.ends = append(e.ends, keptEnd{report: report, at: now})
+	e.reported = true
 	c.emit(Report{Entry: name, Report: report})
 }
 
--- a/supervisor/entry.go
+++ b/supervisor/entry.go
@@ -8,6 +8,15 @@
 	"agatevalve/common/work"
 )
 
+const (
+	// leastTellPause and tellPause, for each entry, bound how often an entry is
+	// told of a load without another report. Rehearsed days are the same with none
+	// and with twice as much (docs/decisions.md), and processor time at entries
+	// goes with the frames.
+	leastTellPause = 40 * time.Millisecond
+	tellPause      = 20 * time.Millisecond
+)
+
 // entry is what the agent knows of one run of an entry. Its key names the
 // entry's incarnation too.
 type entry struct {
@@ -22,8 +31,15 @@
 	lastEnd uint64
 	// ends are those that the entry has not acknowledged.
 	ends []keptEnd
-	// told is the load that the entry was told last.
-	told work.Load
+	// taken counts the orders that came over the open link.
+	taken uint64
+	// told and toldTaken are what the entry was told last, at toldAt.
+	told      work.Load
+	toldTaken uint64
+	toldAt    time.Time
+	// reported is true when the step has a report for the entry, in whose frame
+	// the load goes along.
+	reported bool
 }
 
 type keptEnd struct {
@@ -81,13 +97,30 @@
 	return l
 }
 
-// reportLoad tells each entry of a load that has changed since it was told.
-func (c *Core) reportLoad() {
+// reportLoad tells entries of a load that has changed since they were told: at
+// once with another report, and otherwise after a pause that grows with their
+// number, so that an entry hears no more of each agent the more entries there are.
+func (c *Core) reportLoad(now time.Time) {
 	load := c.load()
+	pause := max(leastTellPause, time.Duration(c.linked())*tellPause)
+	for _, e := range c.byName {
+		reported := e.reported
+		e.reported = false
+		if e.link == 0 || e.told == load && e.toldTaken == e.taken || !reported && now.Sub(e.toldAt) < pause {
+			continue
+		}
+		e.told, e.toldTaken, e.toldAt = load, e.taken, now
+		c.emit(ReportLoad{Entry: e.name, Load: load, Taken: e.taken})
+	}
+}
+
+// linked counts the entries with an open link.
+func (c *Core) linked() int {
+	linked := 0
 	for _, e := range c.byName {
-		if e.link != 0 && e.told != load {
-			e.told = load
-			c.emit(ReportLoad{Entry: e.name, Load: load})
+		if e.link != 0 {
+			linked++
 		}
 	}
+	return linked
 }
--- a/supervisor/events.go
+++ b/supervisor/events.go
@@ -131,7 +131,8 @@
 		return
 	}
 	e.link, e.heard = ev.Link, now
-	e.told = c.load()
+	e.taken, e.toldTaken = 0, 0
+	e.told, e.toldAt = c.load(), now
 	c.emit(Greet{
 		Entry: ev.Entry, Link: ev.Link, Reports: c.resume(ev.Entry),
 		Minion: c.minion.Minion, Usable: c.minion.usable(), Leaving: c.leaving, Load: e.told,
@@ -158,6 +159,7 @@
 	for len(e.ends) > 0 && e.ends[0].report.Number <= ev.Acked {
 		e.ends = e.ends[1:]
 	}
+	e.taken += uint64(len(ev.Orders))
 	for _, o := range ev.Orders {
 		c.take(now, ev.Entry, o)
 	}
--- a/supervisor/pace.go
+++ b/supervisor/pace.go
@@ -154,5 +154,6 @@
 		return
 	}
 	r.told, r.lateness = total, max(lateness, r.lateness)
+	c.entry(r.entry).reported = true
 	c.emit(Report{Entry: r.entry, Report: work.Report{Run: r.order.Run, State: work.Started, Took: total, Left: left, Sure: sure}})
 }
--- a/supervisor/starting.go
+++ b/supervisor/starting.go
@@ -18,9 +18,9 @@
 	// renewal. An order without an answer may have extended the lease, so the
 	// lease of a silent minion has to be left to lapse.
 	staleAfter = 250 * time.Millisecond
-	// queuedShare is the part of the minion's room that runs may wait for. It
+	// DefaultQueuedShare is the part of the minion's room that runs may wait for. It
 	// keeps the minion busy over the time of a message to an entry and back.
-	queuedShare = 0.2
+	DefaultQueuedShare = 0.2
 )
 
 // startWaiting starts the queued runs that fit, most urgent first.
@@ -68,7 +68,7 @@
 			total += r.order.Room.CPU
 		}
 	}
-	most := int64(queuedShare * float64(c.minion.Room.CPU))
+	most := int64(c.o.QueuedShare * float64(c.minion.Room.CPU))
 	if len(waiting) < 2 || total <= most {
 		return
 	}
@@ -131,6 +131,9 @@
 		if len(c.runs) > 0 {
 			command.Wait = c.o.HoldWait
 		}
+		if now.Sub(c.doubted) < doubtFor {
+			command.Wait = min(command.Wait, doubtfulHoldWait)
+		}
 	}
 	c.emit(command)
 }
