--- a/common/work/work.go
+++ b/common/work/work.go
@@ -63,6 +63,8 @@
 	Spec string
 	// MostBeside caps the tasks of the job on one minion; 0 for no cap.
 	MostBeside int
+	// Priority is that of the route; lower values go first.
+	Priority int
 	// StartBefore is the latest start that still meets the latency objective.
 	StartBefore time.Time
 	// EndBefore is the caller's deadline. Nothing is started that can't end by then.
--- a/coupler/codec.go
+++ b/coupler/codec.go
@@ -46,7 +46,7 @@
 		frame.Starts = append(frame.Starts, &v1.RunStart{
 			Run: runToWire(o.Run), Room: roomToWire(o.Room), Label: o.Label, Spec: spec, MostBeside: uint32(o.MostBeside),
 			StartBefore: durationpb.New(o.StartBefore.Sub(now)), EndBefore: durationpb.New(o.EndBefore.Sub(now)),
-			Work: durationpb.New(o.Work),
+			Work: durationpb.New(o.Work), Priority: int32(o.Priority),
 		})
 	}
 }
@@ -62,7 +62,7 @@
 	}
 	return work.Order{
 		Run: run, Room: roomFromWire(s.GetRoom()), Label: s.GetLabel(), Spec: frame.GetSpecs()[s.GetSpec()],
-		MostBeside:  int(s.GetMostBeside()),
+		MostBeside: int(s.GetMostBeside()), Priority: int(s.GetPriority()),
 		StartBefore: now.Add(s.GetStartBefore().AsDuration()), EndBefore: now.Add(s.GetEndBefore().AsDuration()),
 		Work: s.GetWork().AsDuration(),
 	}, nil
--- a/coupler/coupler_test.go
+++ b/coupler/coupler_test.go
@@ -100,7 +100,7 @@
 
 	run := work.Run{Task: work.Task{Job: "j", Index: 3}, Number: 2}
 	order := work.Order{
-		Run: run, Room: work.Room{CPU: 1600, Memory: 64, Accelerators: 1}, Label: "a", Spec: "spec", MostBeside: 2,
+		Run: run, Room: work.Room{CPU: 1600, Memory: 64, Accelerators: 1}, Label: "a", Spec: "spec", MostBeside: 2, Priority: 3,
 		StartBefore: time.Now().Add(time.Second), EndBefore: time.Now().Add(2 * time.Second), Work: 200 * time.Millisecond,
 	}
 	p.hub.Send(met.Link, scheduler.Place{Agent: met.Agent, Link: met.Link, Order: order})
--- a/coupler/spokes.go
+++ b/coupler/spokes.go
@@ -26,11 +26,16 @@
 const (
 	// connectWithin bounds the set-up of a connection to an entry.
 	connectWithin = 400 * time.Millisecond
-	// firstAgain and lastAgain bound the pause between two links to one entry,
-	// which doubles while it can't be reached. An entry that has started again
-	// waits no longer than lastAgain for its agents.
-	firstAgain = 50 * time.Millisecond
+	// firstAgain is the pause between two links to one entry. It doubles to
+	// eagerAgain at first, so that an entry that has started again has its agents
+	// soon, and after eagerFor to lastAgain.
+	firstAgain = 40 * time.Millisecond
+	eagerAgain = 80 * time.Millisecond
+	eagerFor   = 5 * time.Second
 	lastAgain  = 300 * time.Millisecond
+	// pingAfter is the silence after which the transport probes a link; links are
+	// probed by frames, so that it is not to happen.
+	pingAfter = 5 * time.Second
 )
 
 // SpokesOptions are the dependencies of Spokes.
@@ -164,11 +169,10 @@
 
 // run opens one link after another.
 func (k *spoke) run(ctx context.Context) {
-	pause := firstAgain
+	pause, away := firstAgain, time.Now()
 	for ctx.Err() == nil {
-		opened := k.link(ctx)
-		if opened {
-			pause = firstAgain
+		if k.link(ctx) {
+			pause, away = firstAgain, time.Now()
 		}
 		timer := time.NewTimer(pause/2 + rand.N(pause))
 		select {
@@ -177,6 +181,9 @@
 		}
 		timer.Stop()
 		pause = min(2*pause, lastAgain)
+		if time.Since(away) < eagerFor {
+			pause = min(pause, eagerAgain)
+		}
 	}
 }
 
@@ -185,7 +192,7 @@
 func (k *spoke) link(parent context.Context) bool {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
-	client := dialer.New(dialer.Options{ConnectWithin: connectWithin})
+	client := dialer.New(dialer.Options{ConnectWithin: connectWithin, PingAfter: pingAfter})
 	defer client.Close()
 	service := agatevalvev1connect.NewRunServiceClient(
 		client, "http://"+k.address.String(), connect.WithReadMaxBytes(messageBytes), dialer.Plain(),
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -26,9 +26,9 @@
 	idleTick = 50 * time.Millisecond
 	// starters and stoppers are how many orders may be on their way at once.
 	// Orders take a millisecond or so; one without an answer holds its
-	// goroutine for startWithin.
-	starters = 12
-	stoppers = 6
+	// goroutine for startWithin. Each may open a connection, which has a price.
+	starters = 8
+	stoppers = 3
 	// startWithin and stopWithin bound the wait for an answer from the minion
 	// on the same machine.
 	startWithin = 120 * time.Millisecond
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -9,6 +10,12 @@
 )
 
 const (
+	// queuedShare is the part of its room that an agent lets tasks wait for
+	// (supervisor.DefaultQueuedShare).
+	queuedShare = 0.2
+	// ownQueue is how many of its own orders an entry lets wait at one agent before
+	// it has heard of them. Other entries see the same room.
+	ownQueue = 1
 	// tieSpread is by how much the expected ends of two minions may differ to
 	// count as equal, so that entries don't all choose the same one.
 	tieSpread = 4 * time.Millisecond
@@ -38,42 +45,6 @@
 	meanWait = 0.5
 )
 
-// refusal returns why a job can't be taken, or "". It answers overload and the
-// loss of all minions, before anything has started.
-func (c *Core) refusal(now time.Time, j *job) (reason string, retry time.Duration) {
-	best := time.Duration(-1)
-	fits := false
-	for _, a := range c.ordered {
-		if a.minion.Service != j.Service {
-			continue
-		}
-		if a.fits(j) {
-			fits = true
-		}
-		if !a.open(now) || !a.fits(j) {
-			continue
-		}
-		if end := a.expectedEnd(j); best < 0 || end < best {
-			best = end
-		}
-	}
-	switch {
-	case best < 0 && !fits:
-		if c.awaits(now) {
-			return "", 0
-		}
-		return "no minion of the service can hold its tasks", leastRetry
-	case best < 0 && c.awaits(now):
-		return "", 0
-	case best < 0:
-		return "no minion of the service is in reach", leastRetry
-	}
-	if end := now.Add(best); end.After(j.Deadline) {
-		return "it can't end before its deadline", min(max(end.Sub(j.Deadline), leastRetry), mostRetry)
-	}
-	return "", 0
-}
-
 // placeWaiting sends waiting tasks to agents, most urgent first.
 func (c *Core) placeWaiting(now time.Time) {
 	if len(c.waiting) == 0 || !c.changed && now.Sub(c.planned) < planEvery {
@@ -104,7 +75,7 @@
 }
 
 // compareUrgency puts tasks that can still meet their objective first, by the
-// time that is left to start them.
+// priority of their route and then by the time that is left to start them.
 func compareUrgency(now time.Time, a, b *task) int {
 	startA, startB := a.startBefore(), b.startBefore()
 	lateA, lateB := now.After(startA), now.After(startB)
@@ -115,6 +86,8 @@
 		return 1
 	case lateA:
 		return a.job.Deadline.Compare(b.job.Deadline)
+	case a.job.Priority != b.job.Priority:
+		return cmp.Compare(a.job.Priority, b.job.Priority)
 	}
 	return startA.Compare(startB)
 }
@@ -162,7 +135,7 @@
 			continue
 		}
 		end := a.expectedEnd(t.job)
-		if a.wait(t.job.Room) > c.o.QueueAhead {
+		if a.wait(t.job.Room) > c.o.QueueAhead || a.queueFull(t.job.Room) {
 			found.queuedEnd = min(found.queuedEnd, end)
 			continue
 		}
@@ -216,7 +189,7 @@
 	}
 	t.takes = a.expectedWork(t.job)
 	t.order = work.Order{
-		Run: t.run(), Room: t.job.Room, Label: t.job.Label, Spec: t.job.Spec, MostBeside: t.job.MostBeside,
+		Run: t.run(), Room: t.job.Room, Label: t.job.Label, Spec: t.job.Spec, MostBeside: t.job.MostBeside, Priority: t.job.Priority,
 		StartBefore: t.job.objective.Add(-t.takes), EndBefore: t.job.Deadline, Work: t.job.expected,
 	}
 	a.add(t)
@@ -255,6 +228,16 @@
 	return a.load.Running.Plus(a.load.Queued).Plus(a.unheard)
 }
 
+// queueFull reports whether the agent would likely return a task of this size,
+// since enough wait there.
+func (a *agent) queueFull(need work.Room) bool {
+	over := a.committed().Plus(need).CPU - a.minion.Room.CPU
+	if over <= 0 {
+		return false
+	}
+	return over > int64(queuedShare*float64(a.minion.Room.CPU)) || len(a.pending) >= ownQueue
+}
+
 // wait is the expected time until a task of this size has room.
 func (a *agent) wait(need work.Room) time.Duration {
 	over := a.committed().Plus(need).Minus(a.minion.Room)
--- a/supervisor/starting.go
+++ b/supervisor/starting.go
@@ -99,12 +99,15 @@
 }
 
 // goesFirst orders the queue: runs that can still meet their objective go
-// before those that can't, and among each the one with the least time left.
+// before those that can't. Among the first the lower priority value goes first,
+// and among equals the one with the least time left.
 func goesFirst(now time.Time, a, b work.Order) bool {
 	lateA, lateB := now.After(a.StartBefore), now.After(b.StartBefore)
 	switch {
 	case lateA != lateB:
 		return !lateA
+	case !lateA && a.Priority != b.Priority:
+		return a.Priority < b.Priority
 	case !lateA && !a.StartBefore.Equal(b.StartBefore):
 		return a.StartBefore.Before(b.StartBefore)
 	case lateA && !a.EndBefore.Equal(b.EndBefore):
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -344,3 +344,16 @@
 	b.step(supervisor.HoldFailed{})
 	is.Equal(find[supervisor.HoldLease](b.pass(20 * time.Millisecond))[0].Wait, 25*time.Millisecond)
 }
+
+func TestLowerPriorityValueStartsFirst(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	b.step(b.order("full", 10_000))
+	b.step(supervisor.StartAnswered{Run: run("full"), Incarnation: 1, Answer: supervisor.StartTaken})
+	low, high := b.order("low", 900), b.order("high", 900)
+	low.Orders[0].Priority, high.Orders[0].Priority = 2, 0
+	low.Orders[0].StartBefore = b.now.Add(50 * time.Millisecond)
+	b.step(low, high)
+	out := b.list(nil, []supervisor.ListedEnd{{Number: 1, Run: run("full"), State: work.Done}})
+	is.Equal(find[supervisor.StartRun](out)[0].Run, run("high"))
+}
