--- a/emulator/leased.go
+++ b/emulator/leased.go
@@ -25,6 +25,8 @@
 	Pace float64
 	// LongestLease caps leases.
 	LongestLease time.Duration
+	// Unguarded minions start what they are told to, also beyond their room.
+	Unguarded bool
 	// EndlessLeases plants a fault: no lease lapses.
 	EndlessLeases bool
 	// Truth tells what a task needs.
@@ -118,7 +120,7 @@
 		return supervisor.StartOld
 	}
 	truth := m.o.Truth(order.Run.Task)
-	if !m.o.Minion.Room.Minus(m.Used()).Holds(truth.Room) {
+	if !m.o.Unguarded && !m.o.Minion.Room.Minus(m.Used()).Holds(truth.Room) {
 		return supervisor.StartNoRoom
 	}
 	m.runs[order.Run] = &leasedRun{truth: truth, began: now}
--- a/rehearser/agent.go
+++ b/rehearser/agent.go
@@ -33,8 +33,9 @@
 	a.life++
 	name := fmt.Sprintf("minion-%02d-%d", a.index, a.life)
 	a.minion = emulator.NewLeasedMinion(emulator.LeasedOptions{
-		Minion: work.Minion{Name: name, Incarnation: uint64(a.life), Service: service, Room: a.w.day.Room},
-		Pace:   a.w.day.Paces[a.index], LongestLease: longestLease, EndlessLeases: a.w.day.EndlessLeases, Truth: a.w.truth,
+		Minion: work.Minion{Name: name, Incarnation: uint64(a.life), Service: service, Room: a.w.day.Room, Labels: a.labels()},
+		Pace:   a.w.day.Paces[a.index], LongestLease: longestLease, EndlessLeases: a.w.day.EndlessLeases, Unguarded: a.w.day.Unguarded,
+		Truth: a.w.truth,
 		Started: func(run work.Run, at time.Time) {
 			a.w.judge.started(name, run, at)
 			a.ended()
@@ -46,6 +47,14 @@
 	}, a.w.now)
 }
 
+// labels are those of the minion beside the agent.
+func (a *agentNode) labels() []string {
+	if len(a.w.day.Labels) == 0 {
+		return nil
+	}
+	return a.w.day.Labels[a.index%len(a.w.day.Labels)]
+}
+
 // boot starts the agent process.
 func (a *agentNode) boot() {
 	a.incarnation++
@@ -103,7 +112,9 @@
 	}
 	events := a.inbox
 	a.inbox = nil
-	for _, command := range a.core.Step(a.w.now, events) {
+	commands := a.core.Step(a.w.now, events)
+	a.w.judge.stepped(len(events), len(commands))
+	for _, command := range commands {
 		a.carryOut(command)
 	}
 }
--- a/rehearser/callers.go
+++ b/rehearser/callers.go
@@ -114,10 +114,12 @@
 		w.after(resubmitAfter, c.again)
 		return
 	}
+	w.judge.resubmitted(c)
 	w.ordered++
 	c.at, c.atLife, c.ticket = e, e.incarnation, uint64(w.ordered)
 	job := work.Job{
 		ID: c.id, Route: c.route.Name, Service: service, Spec: "spec", Count: len(c.truths), Room: c.truths[0].Room, Hint: c.hint,
+		Label: c.route.Label, MostBeside: c.route.MostBeside,
 		Attempts: attempts, Priority: c.route.Priority, Stretch: stretch, Allowance: allowance,
 	}
 	ticket := c.ticket
--- a/rehearser/fuzz_test.go
+++ b/rehearser/fuzz_test.go
@@ -26,8 +26,12 @@
 		Room: work.Room{CPU: 8000, Memory: 65536},
 		Routes: []rehearser.Route{
 			{Name: "short", PerSecond: 12, Tasks: 6, Work: 60 * time.Millisecond, CPU: 1600, Worth: 1},
-			{Name: "long", PerSecond: 3, Tasks: 3, Work: 800 * time.Millisecond, CPU: 1600, Worth: 1},
+			{Name: "long", PerSecond: 3, Tasks: 3, Work: 800 * time.Millisecond, CPU: 1600, Worth: 1, Priority: 2},
+			{Name: "labelled", PerSecond: 2, Tasks: 2, Work: 100 * time.Millisecond, CPU: 3000, Worth: 1, Label: "b", Priority: 1},
+			{Name: "apart", PerSecond: 2, Tasks: 4, Work: 100 * time.Millisecond, CPU: 1000, Worth: 1, MostBeside: 2, Priority: 1},
 		},
+		Labels:      [][]string{{"a"}, {"a", "b"}},
+		Unguarded:   rapid.Bool().Draw(t, "unguarded"),
 		Poison:      rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "poison"),
 		LostAnswers: rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "lost"),
 		Leave:       rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "leave"),
@@ -62,11 +66,17 @@
 
 // TestNoDayBreaksAPromise plays days against the judge, which sees what callers
 // and minions see: tasks at work twice, false refusals and answers, starts that
-// nobody asked for, and starts at draining minions.
+// nobody asked for, at draining or full minions, without the route's label, beyond
+// its cap on one minion, or after as many failures as it allows. Cores take the
+// time of steady clocks only, so that jumps of the time of day can't reach them.
 func TestNoDayBreaksAPromise(t *testing.T) {
+	days, steps := 0, 0
+	t.Cleanup(func() { t.Logf("%d days, %d steps", days, steps) })
 	rapid.Check(t, func(t *rapid.T) {
 		day := drawDay(t)
 		result := rehearser.Play(day)
+		days++
+		steps += result.Steps
 		if len(result.Broken) > 0 {
 			t.Fatalf("%+v\n%s", day, strings.Join(result.Broken, "\n"))
 		}
@@ -88,3 +98,20 @@
 		t.Fatal("a task at work twice was not seen")
 	}
 }
+
+// TestJudgeSeesWrongMinions keeps the judge honest by a policy that knows no
+// labels and caps.
+func TestJudgeSeesWrongMinions(t *testing.T) {
+	day := rehearser.Day{
+		Seed: 5, Length: 2 * time.Second, Entries: 1, Room: work.Room{CPU: 8000, Memory: 65536}, Paces: []float64{1, 1}, Policy: rehearser.LeastLoaded,
+		Labels: [][]string{{"a"}, {"a", "b"}},
+		Routes: []rehearser.Route{
+			{Name: "labelled", PerSecond: 5, Tasks: 2, Work: 100 * time.Millisecond, CPU: 1000, Worth: 1, Label: "b"},
+			{Name: "apart", PerSecond: 5, Tasks: 4, Work: 100 * time.Millisecond, CPU: 1000, Worth: 1, MostBeside: 1},
+		},
+	}
+	broken := strings.Join(rehearser.Play(day).Broken, "\n")
+	if !strings.Contains(broken, "without its label") || !strings.Contains(broken, "of its job") {
+		t.Fatal(broken)
+	}
+}
--- a/rehearser/judge.go
+++ b/rehearser/judge.go
@@ -24,6 +24,8 @@
 type judge struct {
 	w    *world
 	cuts []cutPair
+	// failures counts the runs of each task that ended Failed.
+	failures map[work.Task]int
 	// atWork maps each task to the minion that runs it.
 	atWork map[work.Task]placed
 	// begun holds the jobs of which a task has started.
@@ -45,7 +47,7 @@
 
 func newJudge(w *world) *judge {
 	return &judge{
-		w: w, atWork: make(map[work.Task]placed), begun: make(map[string]bool), drains: make(map[string]time.Time),
+		w: w, failures: make(map[work.Task]int), atWork: make(map[work.Task]placed), begun: make(map[string]bool), drains: make(map[string]time.Time),
 		leftAt: make(map[string]time.Time), earned: make(map[string]float64), owed: make(map[string]float64),
 	}
 }
@@ -74,6 +76,7 @@
 	if other, some := j.atWork[run.Task]; some {
 		j.broke("twice: %s started at %s while %s is at work at %s since %s", run, minion, other.run, other.minion, at.Sub(other.began))
 	}
+	j.judgePlace(c, minion, run)
 	if end, drains := j.drains[minion]; drains && at.After(end) {
 		j.broke("drain: %s started at %s", run, minion)
 	}
@@ -87,6 +90,42 @@
 	j.atWork[run.Task] = placed{run: run, minion: minion, began: at}
 }
 
+// judgePlace judges where a run begins.
+func (j *judge) judgePlace(c *caller, minion string, run work.Run) {
+	if j.failures[run.Task] >= attempts {
+		j.broke("budget: %s started after %d failures", run, j.failures[run.Task])
+	}
+	var used work.Room
+	beside := 0
+	for task, p := range j.atWork {
+		if p.minion != minion {
+			continue
+		}
+		used = used.Plus(j.w.truth(task).Room)
+		if task.Job == run.Job {
+			beside++
+		}
+	}
+	if !j.w.day.Room.Minus(used).Holds(j.w.truth(run.Task).Room) {
+		j.broke("limit: %s started at %s, which is full", run, minion)
+	}
+	if most := c.route.MostBeside; most > 0 && beside >= most {
+		j.broke("route: %s started at %s beside %d of its job", run, minion, beside)
+	}
+	for _, a := range j.w.agents {
+		if a.minion.Describe().Name == minion && c.route.Label != "" && !slices.Contains(a.labels(), c.route.Label) {
+			j.broke("route: %s started at %s without its label", run, minion)
+		}
+	}
+}
+
+// stepped counts a step unless nothing happened in it.
+func (j *judge) stepped(events, commands int) {
+	if events+commands > 0 {
+		j.res.Steps++
+	}
+}
+
 // stopped notes that a run is at work no more.
 func (j *judge) stopped(_ string, run work.Run, state work.State, at time.Time) {
 	if p, some := j.atWork[run.Task]; some && p.run == run {
@@ -95,6 +134,9 @@
 	if state != work.Done {
 		j.res.Wasted++
 	}
+	if state == work.Failed {
+		j.failures[run.Task]++
+	}
 	if left, some := j.leftAt[run.Job]; some && at.Sub(left) > stopWithin {
 		j.broke("unasked: %s was at work until %s after its caller left", run, at.Sub(left))
 	}
@@ -105,6 +147,13 @@
 	j.owed[c.route.Name] += c.route.Worth
 }
 
+// resubmitted forgets failures: a job that comes again runs from the start.
+func (j *judge) resubmitted(c *caller) {
+	for i := range c.truths {
+		delete(j.failures, work.Task{Job: c.id, Index: i})
+	}
+}
+
 func (j *judge) left(c *caller) {
 	j.res.Left++
 	j.leftAt[c.id] = j.w.now
--- a/rehearser/rehearser.go
+++ b/rehearser/rehearser.go
@@ -47,6 +47,10 @@
 	// Worth is what a job in time earns; a late one earns a fifth.
 	Worth    float64
 	Priority int
+	// Label is one that minions must have; empty for any.
+	Label string
+	// MostBeside caps the tasks of a job on one minion; 0 for no cap.
+	MostBeside int
 }
 
 // Burst is a time of more work.
@@ -77,6 +81,10 @@
 	Policy Policy
 	// EndlessLeases plants a fault: minions let no lease lapse.
 	EndlessLeases bool
+	// Unguarded minions start what they are told to, also beyond their room.
+	Unguarded bool
+	// Labels are those of each minion in turn; nil for none.
+	Labels [][]string
 	// Trace takes a line for each order, report and answer; nil for none.
 	Trace func(at time.Duration, text string)
 }
@@ -115,6 +123,8 @@
 	Worth float64
 	// Starts counts runs, Wasted those that did not end Done.
 	Starts, Wasted int
+	// Steps counts the steps of all cores that took an event or gave a command.
+	Steps int
 	// Frames counts what entries and agents sent each other, without probes.
 	Frames int
 	// Broken names each broken promise with the time; empty on a good day.
@@ -288,7 +298,9 @@
 	}
 	events := e.inbox
 	e.inbox = nil
-	for _, command := range e.core.Step(e.w.now, events) {
+	commands := e.core.Step(e.w.now, events)
+	e.w.judge.stepped(len(events), len(commands))
+	for _, command := range commands {
 		e.carryOut(command)
 	}
 }
--- a/supervisor/pace.go
+++ b/supervisor/pace.go
@@ -32,8 +32,9 @@
 	// stillPercent is taken as progress where none is listed.
 	stillPercent = 0.5
 	// surePercent is the progress from which the whole run tells more than its
-	// last part, within a fortieth.
-	surePercent = 20
+	// last part, within a twentieth. What is late by more than one whole percent
+	// of progress may be off is given up (latenessOf).
+	surePercent = 10
 	// steadyExcess is by how much the last part may differ from the whole for that.
 	steadyExcess = 1.3
 	// nearShare is the part of a run's time before the deadline from which its
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -357,3 +357,18 @@
 	out := b.list(nil, []supervisor.ListedEnd{{Number: 1, Run: run("full"), State: work.Done}})
 	is.Equal(find[supervisor.StartRun](out)[0].Run, run("high"))
 }
+
+// Runs that could not end in time were given up at a fifth of their work, 400 ms
+// after their callers could have been told.
+func TestHopelessRunIsToldAtATenthOfItsWork(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	b.step(b.order("a", 1000)) // 200 ms were expected, and 1,500 ms are left.
+	b.step(supervisor.StartAnswered{Run: run("a"), Incarnation: 1, Answer: supervisor.StartTaken})
+	b.pass(240 * time.Millisecond)
+	b.step(supervisor.Heard{Entry: entry, Link: 1})
+	reports := find[supervisor.Report](b.list([]supervisor.ListedRun{{Run: run("a"), Percent: 11}}, nil))
+	is.Equal(len(reports), 1)
+	is.True(reports[0].Report.Sure)
+	is.True(reports[0].Report.Took > 2*time.Second)
+}
