--- a/commands/commands.go
+++ b/commands/commands.go
@@ -44,6 +44,7 @@
 	Settings SettingsCommand `cmd:"" help:"Check settings files."`
 	Measure  MeasureCommand  `cmd:"" help:"Measure how tasks are placed under load and faults; for developers."`
 	Rehearse RehearseCommand `cmd:"" help:"Play days of jobs of leased tasks in virtual time, beside simpler ways to place them; for developers."`
+	Soak     SoakCommand     `cmd:"" help:"Run the real programs between stand-ins on the loopback, under faults drawn from a seed; for developers."`
 	Trace    TraceCommand    `cmd:"" help:"Tell the story of one job from the logs of entries and agents."`
 	Version  VersionCommand  `cmd:"" help:"Show the version."`
 }
--- /dev/null
+++ b/commands/soak.go
@@ -0,0 +1,99 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"agatevalve/common/fault"
+	"agatevalve/soaker"
+)
+
+// SoakCommand runs the real programs under faults.
+type SoakCommand struct {
+	First   uint64        `help:"First seed." default:"1"`
+	Seeds   int           `help:"How many seeds to run, one after the other from the first." default:"1"`
+	At      int           `help:"How many to run at a time." name:"at-once" default:"2"`
+	Faults  time.Duration `help:"How long faults come; work goes on 5 s longer." default:"6s"`
+	Entries int           `help:"Entries, 1 to 20." default:"3"`
+	Agents  int           `help:"Agents with a minion each, 1 to 20." default:"4"`
+	Agent   string        `help:"Program of the agent; by default the one beside this program." type:"path" placeholder:"PATH"`
+	Dir     string        `help:"Directory for settings and logs of each seed." type:"path" default:"soak-logs"`
+}
+
+// Help says what is judged.
+func (*SoakCommand) Help() string {
+	return "Entries and agents run as processes of their own on loopback addresses, with a stand-in of the store, a minion for each agent and callers that keep their connections. Processes are killed, frozen and stopped, connections are delayed, reset, cut and silenced, the store and minions misbehave. Judged are the promises that callers, minions and the operator can see. The exit code is 1 if one was broken; the logs of that seed are kept."
+}
+
+// Run soaks the seeds and prints what came of each.
+func (s *SoakCommand) Run(c *console) error {
+	if s.Seeds < 1 || s.At < 1 || s.Entries < 1 || s.Entries > 20 || s.Agents < 1 || s.Agents > 20 || s.Faults <= 0 {
+		return fault.New(fault.Invalid, "see agatevalve soak --help", "a number is out of range")
+	}
+	entry, err := os.Executable()
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "run it from a plain file", "find this program")
+	}
+	agent := s.Agent
+	if agent == "" {
+		agent = filepath.Join(filepath.Dir(entry), "agatevalve-agent")
+	}
+	if _, err := os.Stat(agent); err != nil {
+		return fault.Wrap(err, fault.Invalid, "build it there, or name it with --agent", "find the agent's program")
+	}
+	var mu sync.Mutex
+	var runs sync.WaitGroup
+	var failure error
+	broken := 0
+	slots := make(chan struct{}, s.At)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	for i := range s.Seeds {
+		seed := s.First + uint64(i)
+		slots <- struct{}{}
+		runs.Go(func() {
+			defer func() { <-slots }()
+			dir := filepath.Join(s.Dir, fmt.Sprintf("seed-%d", seed))
+			result, err := soaker.Run(ctx, soaker.Options{
+				Seed: seed, Faults: s.Faults, Entries: s.Entries, Agents: s.Agents, Entry: entry, Agent: agent, Dir: dir,
+			})
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				failure = err
+				c.note("seed %d: %v", seed, err)
+				return
+			}
+			broken += len(result.Broken)
+			if err := s.show(c, result, dir); err != nil {
+				failure = err
+			}
+		})
+	}
+	runs.Wait()
+	if failure != nil {
+		return failure
+	}
+	if broken > 0 {
+		return fault.New(fault.Internal, "read the logs of the seeds above with agatevalve trace", "%d promises were broken", broken)
+	}
+	return nil
+}
+
+// show prints one seed. Logs of a good one are not kept.
+func (s *SoakCommand) show(c *console, r soaker.Result, dir string) error {
+	if err := c.print("seed %d: %d faults, %d starts, jobs %v\n", r.Seed, len(r.Acts), r.Starts, r.Jobs); err != nil {
+		return err
+	}
+	if len(r.Broken) == 0 {
+		return os.RemoveAll(dir)
+	}
+	return c.print("%s\nbroken:\n%s\nlogs: %s\n", strings.Join(r.Acts, "\n"), strings.Join(r.Broken, "\n"), dir)
+}
--- /dev/null
+++ b/soaker/soaker_test.go
@@ -0,0 +1,79 @@
+package soaker_test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"agatevalve/soaker"
+)
+
+// planned is a seed with planned work only.
+const planned = 2
+
+// programs is the directory of the real programs.
+var programs string
+
+// TestMain builds the real programs once.
+func TestMain(m *testing.M) {
+	os.Exit(func() int {
+		dir, err := os.MkdirTemp("", "soak")
+		if err != nil {
+			fmt.Println(err)
+			return 1
+		}
+		defer func() { _ = os.RemoveAll(dir) }()
+		if out, err := exec.Command("go", "build", "-o", dir+"/", "..", "../agatevalve-agent").CombinedOutput(); err != nil {
+			fmt.Println(err, string(out))
+			return 1
+		}
+		programs = dir
+		return m.Run()
+	}())
+}
+
+func soak(t *testing.T, o soaker.Options) soaker.Result {
+	t.Helper()
+	o.Entry, o.Agent, o.Dir = filepath.Join(programs, "agatevalve"), filepath.Join(programs, "agatevalve-agent"), t.TempDir()
+	result, err := soaker.Run(t.Context(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("seed %d: %v, %d starts\n%s", o.Seed, result.Jobs, result.Starts, strings.Join(result.Acts, "\n"))
+	return result
+}
+
+// TestShortSoak plays one seed of trouble and one of planned work.
+func TestShortSoak(t *testing.T) {
+	for _, seed := range []uint64{1, planned} {
+		result := soak(t, soaker.Options{Seed: seed, Faults: 3 * time.Second, Entries: 2, Agents: 3})
+		if len(result.Broken) > 0 {
+			t.Errorf("seed %d:\n%s", seed, strings.Join(result.Broken, "\n"))
+		}
+	}
+}
+
+// TestSoakSeesPlantedFaults keeps the judge honest. Seed 2 has planned work only.
+func TestSoakSeesPlantedFaults(t *testing.T) {
+	planted := map[soaker.Plant]string{
+		soaker.DoubledStarts: "twice", soaker.StrayStarts: "unasked", soaker.LostEnds: "false answer", soaker.RefusedStarts: "refused",
+		soaker.DrainedStarts: "drain", soaker.FullMinions: "limit", soaker.WrongLabels: "route", soaker.MissingRoutes: "config",
+		soaker.CutAnswers: "lost", soaker.DeadMinions: "recover",
+	}
+	block := 0
+	for plant, want := range planted {
+		block++
+		o := soaker.Options{Seed: planned, Block: block, Faults: time.Second, Entries: 1, Agents: 2, Plant: plant}
+		t.Run(string(plant), func(t *testing.T) {
+			t.Parallel()
+			result := soak(t, o)
+			if !strings.Contains(strings.Join(result.Broken, "\n"), want+":") {
+				t.Fatalf("%s was not seen: %v", want, result.Broken)
+			}
+		})
+	}
+}
