scheduler: Tell jobs that have not begun once too much goes before them

A job that waited behind a queue was held to its deadline and then refused. Once it would be late, and the work that goes before it leaves no time for its own, it is now refused with Retry-After; late refusals name a Retry-After too. Waiting tasks are looked through each 10 ms, not at each step.

--- a/commands/soak.go
+++ b/commands/soak.go
@@ -34,19 +34,9 @@
 
 // Run soaks the seeds and prints what came of each.
 func (s *SoakCommand) Run(c *console) error {
-	if s.Seeds < 1 || s.At < 1 || s.Entries < 1 || s.Entries > 20 || s.Agents < 1 || s.Agents > 20 || s.Faults <= 0 {
-		return fault.New(fault.Invalid, "see agatevalve soak --help", "a number is out of range")
-	}
-	entry, err := os.Executable()
+	entry, agent, err := s.programs()
 	if err != nil {
-		return fault.Wrap(err, fault.Internal, "run it from a plain file", "find this program")
-	}
-	agent := s.Agent
-	if agent == "" {
-		agent = filepath.Join(filepath.Dir(entry), "agatevalve-agent")
-	}
-	if _, err := os.Stat(agent); err != nil {
-		return fault.Wrap(err, fault.Invalid, "build it there, or name it with --agent", "find the agent's program")
+		return err
 	}
 	var mu sync.Mutex
 	var runs sync.WaitGroup
@@ -87,6 +77,23 @@
 	return nil
 }
 
+// programs checks the flags, and returns the paths of the real programs.
+func (s *SoakCommand) programs() (entry, agent string, err error) {
+	if s.Seeds < 1 || s.At < 1 || s.Entries < 1 || s.Entries > 20 || s.Agents < 1 || s.Agents > 20 || s.Faults <= 0 {
+		return "", "", fault.New(fault.Invalid, "see agatevalve soak --help", "a number is out of range")
+	}
+	if entry, err = os.Executable(); err != nil {
+		return "", "", fault.Wrap(err, fault.Internal, "run it from a plain file", "find this program")
+	}
+	if agent = s.Agent; agent == "" {
+		agent = filepath.Join(filepath.Dir(entry), "agatevalve-agent")
+	}
+	if _, err := os.Stat(agent); err != nil {
+		return "", "", fault.Wrap(err, fault.Invalid, "build it there, or name it with --agent", "find the agent's program")
+	}
+	return entry, agent, nil
+}
+
 // show prints one seed. Logs of a good one are not kept.
 func (s *SoakCommand) show(c *console, r soaker.Result, dir string) error {
 	if err := c.print("seed %d: %d faults, %d starts, jobs %v\n", r.Seed, len(r.Acts), r.Starts, r.Jobs); err != nil {
--- a/rehearser/policies.go
+++ b/rehearser/policies.go
@@ -72,7 +72,7 @@
 		case scheduler.LinkOpened:
 			b.opened(now, ev)
 		case scheduler.LinkClosed:
-			b.closed(now, ev)
+			b.closed(ev)
 		case scheduler.Reported:
 			b.reported(now, ev)
 		}
@@ -160,7 +160,7 @@
 	}
 }
 
-func (b *baseline) closed(now time.Time, ev scheduler.LinkClosed) {
+func (b *baseline) closed(ev scheduler.LinkClosed) {
 	a := b.agent(ev.Agent)
 	if a.link == ev.Link {
 		a.link = 0
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -51,6 +51,8 @@
 	ends *heap.Heap[ending]
 	// waiting holds the tasks that are at no agent.
 	waiting []*task
+	// expired is when waiting tasks were last looked through.
+	expired time.Time
 	// planned is when waiting tasks were last given places.
 	planned  time.Time
 	works    estimator
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -156,8 +156,12 @@
 // finish answers a job and stops what is left of it.
 func (c *Core) finish(now time.Time, j *job, outcome work.Outcome, reason string) {
 	delete(c.jobs, j.ID)
+	retry := time.Duration(0)
+	if outcome == work.NotRun {
+		retry = leastRetry
+	}
 	c.emit(Answer{
-		Tickets: j.tickets, Job: j.ID, Outcome: outcome, Reason: reason,
+		Tickets: j.tickets, Job: j.ID, Outcome: outcome, Reason: reason, RetryAfter: retry,
 		Tasks: j.Count, Expected: j.expected, Age: now.Sub(j.Arrived),
 	})
 	for _, t := range j.tasks {
--- a/scheduler/moving.go
+++ b/scheduler/moving.go
@@ -21,6 +21,9 @@
 	// nearShare is the part of a run's projected time before the deadline from
 	// which its end is too near to it.
 	nearShare = 0.03
+	// expireEvery is how often waiting tasks are looked through; deadlines are
+	// kept to within it.
+	expireEvery = 10 * time.Millisecond
 	// awaitAgents is how long jobs wait at an entry that has just started, or has
 	// just lost its last agent. Agents find an entry within this time.
 	awaitAgents = 700 * time.Millisecond
@@ -103,16 +106,48 @@
 // expireWaiting gives up jobs with a task that waits and can't end in time, or
 // for which no agent has come.
 func (c *Core) expireWaiting(now time.Time) {
+	if len(c.waiting) == 0 || now.Sub(c.expired) < expireEvery {
+		return
+	}
+	c.expired = now
+	reached := c.reached || c.awaits(now)
+	reasons := make(map[*job]string)
 	var over []*job
 	for _, t := range c.waiting {
-		reached := c.reached || c.awaits(now)
-		if !reached || now.Add(time.Duration(leastPart/mostSpeedUp*float64(t.job.expected))).After(t.job.Deadline) {
+		if _, seen := reasons[t.job]; seen {
+			continue
+		}
+		if reasons[t.job] = c.hopeless(now, t, reached); reasons[t.job] != "" {
 			over = append(over, t.job)
 		}
 	}
 	for _, j := range over {
 		if c.jobs[j.ID] == j {
-			c.giveUp(now, j, "no minion is in reach that could end its tasks in time")
+			c.giveUp(now, j, reasons[j])
 		}
 	}
 }
+
+// hopeless returns why a waiting task can't end in time, or "". A job that has
+// not begun is told once it would be late and what goes before it takes too
+// long, since its caller may go elsewhere and nothing is lost.
+func (c *Core) hopeless(now time.Time, t *task, reached bool) string {
+	j := t.job
+	switch {
+	case !reached:
+		return "no minion is in reach"
+	case now.Add(time.Duration(leastPart / mostSpeedUp * float64(j.expected))).After(j.Deadline):
+		return "its tasks can't end before the deadline"
+	case j.begun || !now.After(t.startBefore()):
+		return ""
+	}
+	p := c.prospectOf(now, j)
+	if !p.open {
+		return ""
+	}
+	ahead := c.backlogOnTime(now, j.Service)
+	if now.Add(ahead + p.quickest).After(j.Deadline) {
+		return tooMuchWaits
+	}
+	return ""
+}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -392,3 +392,28 @@
 	load.Queued = work.Room{CPU: 2000}
 	is.Equal(len(find[scheduler.Place](b.step(scheduler.Reported{Agent: agent(0), Link: 1, Load: &load, Taken: 2}))), 0)
 }
+
+// Jobs that waited behind a queue were held to their deadline, and then refused.
+func TestLateJobIsToldWhenTooMuchGoesBeforeIt(t *testing.T) {
+	is := is.New(t)
+	b := newBench(1)
+	b.fill()
+	late := b.job("late", 1)
+	is.Equal(len(find[scheduler.Answer](b.step(late))), 0)
+	var answers []scheduler.Answer
+	for i := range 120 { // Urgent work comes all the time.
+		job := b.job(fmt.Sprint("urgent-", i), 4)
+		job.Job.Priority = -1
+		answers = append(answers, find[scheduler.Answer](b.step(job))...)
+		answers = append(answers, find[scheduler.Answer](b.pass(9*time.Millisecond))...)
+		for _, a := range answers {
+			if a.Job == "late" {
+				is.Equal(a.Outcome, work.NotRun)
+				is.True(a.RetryAfter >= time.Second)
+				is.True(a.Age < 1300*time.Millisecond) // Another could still do its 200 ms before 1.5 s.
+				return
+			}
+		}
+	}
+	t.Fatal("the late job was not told")
+}
--- a/soaker/program.go
+++ b/soaker/program.go
@@ -59,7 +59,7 @@
 	if p.closed {
 		return nil
 	}
-	cmd := exec.Command(p.args[0], p.args[1:]...)
+	cmd := exec.CommandContext(p.w.ctx, p.args[0], p.args[1:]...)
 	cmd.Env = append(os.Environ(), "AGATEVALVE_BOOT="+p.settingsPath())
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	if err := cmd.Start(); err != nil {
--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -116,12 +116,12 @@
 	})
 }
 
-// silence loses all that comes over the open connections, in one or both
-// directions; new ones work.
-func (p *proxy) silence(near, far bool) {
+// silence loses all that comes back over the open connections, and all that goes
+// out where both directions are meant; new ones work.
+func (p *proxy) silence(both bool) {
 	p.each(func(k *pair) {
-		k.muteNear.Store(near)
-		k.muteFar.Store(far)
+		k.muteFar.Store(true)
+		k.muteNear.Store(both)
 	})
 }
 
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -407,7 +407,7 @@
 		f.proxy.close()
 	}
 	for _, s := range w.agents {
-		s.program.close()
+		s.close()
 		s.proxy.close()
 	}
 	if w.storeProxy != nil {
