rehearser: Count a failure for the attempts once its agent has acknowledged it

The users exempt jobs that are answered at their end from the number of attempts, and an entry can't know of that end. The judge counts ends that the starting agent itself has acknowledged.

--- a/emulator/leased.go
+++ b/emulator/leased.go
@@ -34,6 +34,8 @@
 	// Started and Stopped tell a test when a run begins and ceases to be at work.
 	Started func(run work.Run, at time.Time)
 	Stopped func(run work.Run, state work.State, at time.Time)
+	// Noted tells of an end that was acknowledged; nil for nobody.
+	Noted func(run work.Run, state work.State)
 }
 
 // LeasedMinion is a stand-in of a minion that runs leased tasks. Time is passed
@@ -144,7 +146,12 @@
 	if order.Until > 0 {
 		m.extend(now, order.Until)
 	}
-	m.ended = slices.DeleteFunc(m.ended, func(e supervisor.ListedEnd) bool { return e.Number <= order.Acked })
+	m.ended = slices.DeleteFunc(m.ended, func(e supervisor.ListedEnd) bool {
+		if e.Number <= order.Acked && m.o.Noted != nil {
+			m.o.Noted(e.Run, e.State)
+		}
+		return e.Number <= order.Acked
+	})
 	for _, run := range m.sorted() {
 		running = append(running, supervisor.ListedRun{Run: run, Percent: int(m.runs[run].done * 100)})
 	}
--- a/rehearser/agent.go
+++ b/rehearser/agent.go
@@ -38,12 +38,14 @@
 		Truth: a.w.truth,
 		Started: func(run work.Run, at time.Time) {
 			a.w.judge.started(name, run, at)
+			a.w.judge.starters[run] = starter{agent: a, life: a.incarnation}
 			a.ended()
 		},
 		Stopped: func(run work.Run, state work.State, at time.Time) {
 			a.w.judge.stopped(name, run, state, at)
 			a.ended()
 		},
+		Noted: a.w.judge.noted,
 	}, a.w.now)
 }
 
