--- a/rehearser/agent.go
+++ b/rehearser/agent.go
@@ -20,7 +20,8 @@
 )
 
 func newAgentNode(w *world, index int) *agentNode {
-	a := &agentNode{w: w, index: index}
+	a := &agentNode{index: index}
+	a.w, a.run = w, a.stepCore
 	a.bear()
 	return a
 }
@@ -59,9 +60,7 @@
 
 // boot starts the agent process.
 func (a *agentNode) boot() {
-	a.incarnation++
-	a.down = false
-	a.inbox = nil
+	a.begin()
 	a.links = make(map[string]*link)
 	o := supervisor.Options{}
 	if a.w.day.Policy != Product {
@@ -76,14 +75,6 @@
 	}
 }
 
-func (a *agentNode) tick(life uint64) {
-	if a.incarnation != life || a.down {
-		return
-	}
-	a.step()
-	a.w.after(stepEvery, func() { a.tick(life) })
-}
-
 // describe brings the minion's status reports.
 func (a *agentNode) describe(life uint64) {
 	if a.incarnation != life || a.down {
@@ -95,25 +86,7 @@
 	a.w.after(reportEvery, func() { a.describe(life) })
 }
 
-func (a *agentNode) tell(ev supervisor.Event) {
-	if a.down {
-		return
-	}
-	a.inbox = append(a.inbox, ev)
-	life := a.incarnation
-	a.w.after(50*time.Microsecond, func() {
-		if a.incarnation == life {
-			a.step()
-		}
-	})
-}
-
-func (a *agentNode) step() {
-	if a.down || a.w.now.Before(a.frozen) {
-		return
-	}
-	events := a.inbox
-	a.inbox = nil
+func (a *agentNode) stepCore(events []supervisor.Event) {
 	commands := a.core.Step(a.w.now, events)
 	a.w.judge.stepped(len(events), len(commands))
 	for _, command := range commands {
--- a/rehearser/rehearser.go
+++ b/rehearser/rehearser.go
@@ -20,6 +20,8 @@
 	// and between agent and minion.
 	linkDelay  = 1400 * time.Microsecond
 	orderDelay = 300 * time.Microsecond
+	// inboxDelay is how long a process takes to turn to what has come in.
+	inboxDelay = 50 * time.Microsecond
 	// stepEvery is how often cores step without events.
 	stepEvery = 10 * time.Millisecond
 	// reportEvery is how often minions describe themselves.
@@ -206,14 +208,11 @@
 
 // entryNode is one entry process and its place.
 type entryNode struct {
-	w           *world
-	index       int
-	incarnation uint64
-	core        entryCore
-	frozen      time.Time
-	inbox       []scheduler.Event
-	links       map[uint64]*link
-	down        bool
+	node[scheduler.Event]
+
+	index int
+	core  entryCore
+	links map[uint64]*link
 }
 
 // link is one stream between an entry and an agent.
@@ -228,15 +227,12 @@
 
 // agentNode is one agent process with the minion beside it.
 type agentNode struct {
-	w           *world
-	index       int
-	incarnation uint64
-	core        *supervisor.Core
-	frozen      time.Time
-	inbox       []supervisor.Event
-	links       map[string]*link
-	down        bool
-	minion      *emulator.LeasedMinion
+	node[supervisor.Event]
+
+	index  int
+	core   *supervisor.Core
+	links  map[string]*link
+	minion *emulator.LeasedMinion
 	// watches counts the watches for the next end.
 	watches int
 	// life counts the lives of the minion.
@@ -250,7 +246,8 @@
 }
 
 func newEntryNode(w *world, index int) *entryNode {
-	e := &entryNode{w: w, index: index}
+	e := &entryNode{index: index}
+	e.w, e.run = w, e.stepCore
 	e.boot()
 	return e
 }
@@ -258,9 +255,7 @@
 func (e *entryNode) name() string { return fmt.Sprintf("entry-%d/%d", e.index, e.incarnation) }
 
 func (e *entryNode) boot() {
-	e.incarnation++
-	e.down = false
-	e.inbox = nil
+	e.begin()
 	e.links = make(map[uint64]*link)
 	random := rand.New(rand.NewPCG(e.w.day.Seed, uint64(e.index)+e.incarnation<<8))
 	if e.core = newBaseline(e.w.day.Policy, random); e.w.day.Policy == Product {
@@ -270,34 +265,7 @@
 	e.tick(life)
 }
 
-// tick steps the core until the process ends.
-func (e *entryNode) tick(life uint64) {
-	if e.incarnation != life || e.down {
-		return
-	}
-	e.step()
-	e.w.after(stepEvery, func() { e.tick(life) })
-}
-
-func (e *entryNode) tell(ev scheduler.Event) {
-	if e.down {
-		return
-	}
-	e.inbox = append(e.inbox, ev)
-	life := e.incarnation
-	e.w.after(50*time.Microsecond, func() {
-		if e.incarnation == life {
-			e.step()
-		}
-	})
-}
-
-func (e *entryNode) step() {
-	if e.down || e.w.now.Before(e.frozen) {
-		return
-	}
-	events := e.inbox
-	e.inbox = nil
+func (e *entryNode) stepCore(events []scheduler.Event) {
 	commands := e.core.Step(e.w.now, events)
 	e.w.judge.stepped(len(events), len(commands))
 	for _, command := range commands {
