--- a/soaker/operator.go
+++ b/soaker/operator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -14,8 +15,8 @@
 const (
 	// inForceWithin is how long after a write a configuration may be unknown.
 	inForceWithin = 2 * time.Second
-	// publishEvery is the mean time between two configurations, and probeEvery
-	// between two looks at what is in force.
+	// publishEvery and inForceWithin make the time between two configurations, of
+	// 2.75 s in the mean; probeEvery is that between two looks at what is in force.
 	publishEvery = 1500 * time.Millisecond
 	probeEvery   = 200 * time.Millisecond
 	// forgotten is how many versions back a dropped route is asked for.
@@ -59,11 +60,16 @@
 // operate publishes and probes until ctx ends.
 func (w *world) operate(ctx context.Context) {
 	client := &http.Client{Timeout: time.Second}
+	random := rand.New(rand.NewPCG(w.o.Seed, 3))
 	next := time.Now().Add(publishEvery)
 	for ctx.Err() == nil {
 		if time.Now().After(next) {
 			w.operator.publish(w, false)
-			next = time.Now().Add(publishEvery/2 + publishEvery*time.Duration(time.Now().UnixNano()%3)/2)
+			// Some stand for longer than they may take to be in force.
+			next = time.Now().Add(publishEvery/2 + time.Duration(random.Int64N(int64(2*inForceWithin))))
+			if w.o.Plant == MissingRoutes {
+				next = time.Now().Add(time.Hour) // So that its lack is seen.
+			}
 		}
 		for _, f := range w.entries {
 			w.operator.probe(ctx, w, client, f)
