--- a/common/work/work.go
+++ b/common/work/work.go
@@ -150,6 +150,11 @@
 	Number uint64
 }
 
+// QueuedShare is the part of its room that an agent lets runs wait for, and up to
+// which entries send them. It keeps the minion busy over the time of a message to
+// an entry and back.
+const QueuedShare = 0.2
+
 // Load is what the room of a minion is used for.
 type Load struct {
 	Running Room
--- a/rehearser/callers.go
+++ b/rehearser/callers.go
@@ -120,7 +120,7 @@
 	job := work.Job{
 		ID: c.id, Route: c.route.Name, Service: service, Spec: "spec", Count: len(c.truths), Room: c.truths[0].Room, Hint: c.hint,
 		Label: c.route.Label, MostBeside: c.route.MostBeside,
-		Attempts: attempts, Priority: c.route.Priority, Stretch: stretch, Allowance: allowance,
+		Attempts: attempts + c.w.day.ExtraAttempts, Priority: c.route.Priority, Stretch: stretch, Allowance: allowance,
 	}
 	ticket := c.ticket
 	w.after(callerDelay, func() {
--- a/rehearser/fuzz_test.go
+++ b/rehearser/fuzz_test.go
@@ -115,3 +115,13 @@
 		t.Fatal(broken)
 	}
 }
+
+// TestJudgeSeesTooManyAttempts keeps the judge honest: entries try tasks that never
+// succeed more often than their route allows.
+func TestJudgeSeesTooManyAttempts(t *testing.T) {
+	day := deskDay(6)
+	day.Length, day.Poison, day.ExtraAttempts = 2*time.Second, 0.3, 2
+	if broken := strings.Join(rehearser.Play(day).Broken, "\n"); !strings.Contains(broken, "budget:") {
+		t.Fatal(broken)
+	}
+}
--- a/rehearser/rehearser.go
+++ b/rehearser/rehearser.go
@@ -83,6 +83,8 @@
 	Policy Policy
 	// EndlessLeases plants a fault: minions let no lease lapse.
 	EndlessLeases bool
+	// ExtraAttempts plants a fault: entries are told of more attempts than a route allows.
+	ExtraAttempts int
 	// Unguarded minions start what they are told to, also beyond their room.
 	Unguarded bool
 	// Labels are those of each minion in turn; nil for none.
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// queuedShare is the part of its room that an agent lets tasks wait for
-	// (supervisor.DefaultQueuedShare).
-	queuedShare = 0.2
 	// ownQueue is how many of its own orders an entry lets wait at one agent before
 	// it has heard of them. Other entries see the same room.
 	ownQueue = 1
@@ -235,7 +232,7 @@
 	if over <= 0 {
 		return false
 	}
-	return over > int64(queuedShare*float64(a.minion.Room.CPU)) || len(a.pending) >= ownQueue
+	return over > int64(work.QueuedShare*float64(a.minion.Room.CPU)) || len(a.pending) >= ownQueue
 }
 
 // wait is the expected time until a task of this size has room.
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -7,12 +7,10 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"os"
-	"path/filepath"
 	"sync"
 	"time"
 
@@ -114,31 +112,6 @@
 	acts             []string
 }
 
-// front is an entry, with the balancer's view of it.
-type front struct {
-	*program
-
-	proxy *proxy
-	mu    sync.Mutex
-	// misses counts the questions after readiness that failed on end.
-	misses int
-}
-
-// side is an agent with its minion.
-type side struct {
-	*program
-
-	w     *world
-	index int
-	proxy *proxy
-
-	mu     sync.Mutex
-	minion *imitator.Minion
-	// life counts the lives of the minion; down is until when it is gone.
-	life int
-	down time.Time
-}
-
 // Run runs one soak to its end.
 func Run(ctx context.Context, o Options) (Result, error) {
 	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
@@ -205,48 +178,6 @@
 	return nil
 }
 
-func (w *world) openFront(i int, store netip.AddrPort, seeds []netip.AddrPort) error {
-	at := w.address(1, i)
-	p, err := newProxy(netip.AddrPortFrom(w.address(2, i), callersPort), netip.AddrPortFrom(at, callersPort))
-	if err != nil {
-		return fault.Wrap(err, fault.Unavailable, "end what listens there", "open a proxy")
-	}
-	run, err := w.newProgram(imitator.VM{
-		Node: fmt.Sprintf("front-%d", i), Zone: "a", Address: at, Callers: callersPort, Readiness: readinessPort, Registry: registryPort,
-		FirstPort: firstPort, Seeds: seeds, Store: store,
-	}, w.o.Entry, "serve", "--on-platform")
-	if err != nil {
-		return fault.Wrap(err, fault.Invalid, "check the path of the program", "start an entry")
-	}
-	f := &front{program: run, proxy: p}
-	w.entries = append(w.entries, f)
-	go w.balance(f)
-	return nil
-}
-
-func (w *world) openSide(i int, store netip.AddrPort, seeds []netip.AddrPort) error {
-	minionAt, proxied := netip.AddrPortFrom(w.address(4, i), minionPort), netip.AddrPortFrom(w.address(4, 25+i), minionPort)
-	p, err := newProxy(proxied, minionAt)
-	if err != nil {
-		return fault.Wrap(err, fault.Unavailable, "end what listens there", "open a proxy")
-	}
-	s := &side{w: w, index: i, proxy: p}
-	s.bear()
-	if err := w.serve(minionAt, s); err != nil {
-		return err
-	}
-	s.program, err = w.newProgram(imitator.VM{
-		Node: fmt.Sprintf("side-%d", i), Zone: "a", Address: w.address(3, i), Registry: registryPort, FirstPort: firstPort, Seeds: seeds,
-		Store: store, Minion: proxied,
-	}, w.o.Agent, "--on-platform")
-	if err != nil {
-		return fault.Wrap(err, fault.Invalid, "check the path of the program", "start an agent")
-	}
-	w.agents = append(w.agents, s)
-	go s.report()
-	return nil
-}
-
 func (w *world) serve(at netip.AddrPort, handler http.Handler) error {
 	server := &http.Server{Addr: at.String(), Handler: handler, ReadHeaderTimeout: time.Second}
 	w.servers = append(w.servers, server)
@@ -260,37 +191,6 @@
 	}
 }
 
-// bear starts a new life of the minion.
-func (s *side) bear() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.life++
-	name := fmt.Sprintf("m-%d-%d", s.index, s.life)
-	j := s.w.judge
-	minion := imitator.NewMinion(&j.mu, emulator.LeasedOptions{
-		Minion: work.Minion{
-			Name: name, Incarnation: uint64(firstLife + 1000*s.life), Service: imitator.Service, Zone: "a",
-			Labels: [][]string{{"a"}, {"a", "b"}}[s.index%2], Room: work.Room{CPU: 8000, Memory: 65536},
-		},
-		Pace: []float64{0.7, 1, 1.6}[s.index%3], LongestLease: time.Second,
-		Unguarded: s.index%2 == 1, Truth: s.w.truth,
-		Started: func(run work.Run, at time.Time) { s.w.startedAt(name, run, at) },
-		Stopped: func(run work.Run, state work.State, at time.Time) { j.stopped(run, state, at) },
-	})
-	j.mu.Lock()
-	if s.minion == nil {
-		j.minions = append(j.minions, minion)
-	} else {
-		for i, m := range j.minions {
-			if m == s.minion {
-				j.minions[i] = minion
-			}
-		}
-	}
-	j.mu.Unlock()
-	s.minion = minion
-}
-
 func (w *world) truth(t work.Task) emulator.Truth {
 	job := w.judge.jobs[t.Job]
 	if job == nil || t.Index >= len(job.truths) {
@@ -299,74 +199,6 @@
 	return job.truths[t.Index]
 }
 
-// ServeHTTP serves the minion that lives now; nothing listens at one that is down.
-func (s *side) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	minion, down := s.minion, time.Now().Before(s.down)
-	s.mu.Unlock()
-	if down {
-		if hijacker, ok := rw.(http.Hijacker); ok {
-			if conn, _, err := hijacker.Hijack(); err == nil {
-				abort(conn)
-			}
-		}
-		return
-	}
-	minion.ServeHTTP(rw, r)
-}
-
-// report sends the minion's status reports until the soak ends.
-func (s *side) report() {
-	for s.w.ctx.Err() == nil {
-		s.mu.Lock()
-		minion, down := s.minion, time.Now().Before(s.down)
-		s.mu.Unlock()
-		pause := reportEvery
-		if !down {
-			at := netip.AddrPortFrom(s.vm.Address, registryPort)
-			if minion.Report(s.w.ctx, at) {
-				minion.With(func(l *emulator.LeasedMinion, _ time.Time) {
-					if d := l.Describe(); d.Draining {
-						if s.w.judge.drains[d.Name].IsZero() {
-							s.w.judge.drains[d.Name] = time.Now().Add(drainWithin)
-						}
-					}
-				})
-			} else {
-				pause = tryEvery
-			}
-		}
-		select {
-		case <-s.w.ctx.Done():
-		case <-time.After(pause):
-		}
-	}
-}
-
-// balance asks an entry for its readiness.
-func (w *world) balance(f *front) {
-	client := &http.Client{Timeout: readyEvery / 2}
-	for w.ctx.Err() == nil {
-		ready := imitator.Ready(w.ctx, client, netip.AddrPortFrom(f.vm.Address, readinessPort))
-		f.mu.Lock()
-		if f.misses++; ready {
-			f.misses = 0
-		}
-		f.mu.Unlock()
-		select {
-		case <-w.ctx.Done():
-		case <-time.After(readyEvery):
-		}
-	}
-}
-
-// inRotation reports whether the balancer sends new connections to the entry.
-func (f *front) inRotation() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.misses < 2
-}
-
 func (w *world) awaitReady() error {
 	client := &http.Client{Timeout: time.Second}
 	for end := time.Now().Add(readyWithin); time.Now().Before(end); time.Sleep(tryEvery) {
@@ -417,12 +249,3 @@
 		_ = server.Close() // Nobody is left to ask it.
 	}
 }
-
-// LogsOf returns the paths of the logs that a soak wrote.
-func LogsOf(dir string) []string {
-	logs, err := filepath.Glob(filepath.Join(dir, "*.log"))
-	if err != nil {
-		return nil
-	}
-	return logs
-}
--- a/supervisor/core.go
+++ b/supervisor/core.go
@@ -52,7 +52,8 @@
 	Lease        time.Duration
 	EntrySilence time.Duration
 	HoldWait     time.Duration
-	// QueuedShare is the part of the minion's room that runs may wait for.
+	// QueuedShare is the part of the minion's room that runs may wait for; 0 for
+	// work.QueuedShare.
 	QueuedShare float64
 }
 
@@ -133,7 +134,7 @@
 		o.HoldWait = DefaultHoldWait
 	}
 	if o.QueuedShare == 0 {
-		o.QueuedShare = DefaultQueuedShare
+		o.QueuedShare = work.QueuedShare
 	}
 	return &Core{o: o, entries: make(map[string]*entry), runs: make(map[work.Run]*run), gone: make(map[work.Run]time.Time)}
 }
--- a/supervisor/starting.go
+++ b/supervisor/starting.go
@@ -18,9 +18,6 @@
 	// renewal. An order without an answer may have extended the lease, so the
 	// lease of a silent minion has to be left to lapse.
 	staleAfter = 250 * time.Millisecond
-	// DefaultQueuedShare is the part of the minion's room that runs may wait for. It
-	// keeps the minion busy over the time of a message to an entry and back.
-	DefaultQueuedShare = 0.2
 )
 
 // startWaiting starts the queued runs that fit, most urgent first.
