scheduler: Keep an overload from making all work late

Change: tasks of started jobs go first; late jobs that have not started leave a tenth of each minion free; the admission counts the urgent work that arrives meanwhile, and refuses nothing that fits whole into free room or before which nothing waits; agents tell the lowest priority in their queue, and entries send more urgent tasks there.

--- a/common/work/work.go
+++ b/common/work/work.go
@@ -171,6 +171,8 @@
 	Queued  Room
 	// QueuedWork is the total expected duration of the queued runs.
 	QueuedWork time.Duration
+	// LeastUrgent is the highest priority value of the queued runs; 0 without any.
+	LeastUrgent int
 	// Slowness is the logarithm of the ratio of a run's duration at this
 	// minion to its expected duration at one of average speed.
 	Slowness float64
--- a/coupler/codec.go
+++ b/coupler/codec.go
@@ -105,13 +105,14 @@
 func loadToWire(l work.Load) *v1.RunLoad {
 	return &v1.RunLoad{
 		Running: roomToWire(l.Running), Queued: roomToWire(l.Queued), QueuedWork: durationpb.New(l.QueuedWork), Slowness: l.Slowness,
+		LeastUrgent: int32(l.LeastUrgent),
 	}
 }
 
 func loadFromWire(l *v1.RunLoad) work.Load {
 	return work.Load{
 		Running: roomFromWire(l.GetRunning()), Queued: roomFromWire(l.GetQueued()), QueuedWork: l.GetQueuedWork().AsDuration(),
-		Slowness: l.GetSlowness(),
+		Slowness: l.GetSlowness(), LeastUrgent: int(l.GetLeastUrgent()),
 	}
 }
 
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -16,6 +16,9 @@
 	// ownWorkFraction is the fraction of its own work that a job waits for, since
 	// its tasks start one after the other where room is short.
 	ownWorkFraction = 0.5
+	// minLeftShare is the lower bound of the share of the throughput that work of
+	// higher priority is expected to leave.
+	minLeftShare = 0.1
 )
 
 // feasibility summarizes how soon the minions of a service can run a job.
@@ -64,12 +67,29 @@
 		return "it can't end before its deadline", clampRetryAfter(end.Sub(j.Deadline))
 	}
 	ahead, all := c.backlog(now, j)
-	if ahead > 0 && now.Add(ahead+f.shortestRuntime).After(j.objective) {
+	if ahead > 0 && now.Add(ahead+f.shortestRuntime).After(j.objective) && !c.fitsNow(now, j) {
 		return reasonBacklog, clampRetryAfter(all)
 	}
 	return "", 0
 }
 
+// fitsNow reports whether all tasks of the job find free room at once. No job is
+// refused while minions are free.
+func (c *Core) fitsNow(now time.Time, j *job) bool {
+	room := 0
+	for _, a := range c.sortedAgents {
+		if a.minion.Service != j.Service || !a.available(now) || !a.fits(j) {
+			continue
+		}
+		free := a.minion.Room.Minus(a.committed())
+		for free.Holds(j.Room) && room < j.Count {
+			free = free.Minus(j.Room)
+			room++
+		}
+	}
+	return room >= j.Count
+}
+
 // clampRetryAfter bounds the time after which a refused caller may expect free
 // capacity.
 func clampRetryAfter(wait time.Duration) time.Duration {
@@ -78,9 +98,10 @@
 
 // backlog returns how long the job waits for the tasks of its service that go
 // before it and for part of its own work (ahead), and how long all waiting
-// tasks take (all). Refusing jobs because of the backlog helps in bursts that
-// last longer than the time limit, in which jobs would otherwise be started and
-// then given up.
+// tasks take (all). Work of higher priority that arrives meanwhile goes before it
+// too, so only the throughput that such work leaves counts. Refusing jobs because
+// of the backlog helps in bursts that last longer than the time limit, in which
+// jobs would otherwise be started and then given up.
 func (c *Core) backlog(now time.Time, j *job) (ahead, all time.Duration) {
 	workAhead, totalWork := 0.0, 0.0
 	ownLatestStart := j.objective.Add(-j.expectedWork)
@@ -99,8 +120,12 @@
 		return 0, 0
 	}
 	throughput := c.ownThroughput(j.Service)
+	if workAhead == 0 {
+		return 0, time.Duration(totalWork / throughput)
+	}
+	left := math.Max(minLeftShare*throughput, throughput-c.arrivals.before(now, j.Priority))
 	workAhead += ownWorkFraction * float64(j.Count) * float64(j.Room.CPU) * float64(j.expectedWork)
-	return time.Duration(workAhead / throughput), time.Duration(totalWork / throughput)
+	return time.Duration(workAhead / left), time.Duration(totalWork / throughput)
 }
 
 // onTimeBacklog returns the time that the minions need for those waiting tasks
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -69,6 +69,7 @@
 	// tasks.
 	lastPlacement time.Time
 	estimator     estimator
+	arrivals      arrivals
 	commands      []Command
 	// placementDue is true if an event may have made room for a waiting task.
 	placementDue bool
@@ -155,7 +156,7 @@
 		o.MaxQueueWait = DefaultMaxQueueWait
 	}
 	return &Core{
-		options: o, agents: make(map[AgentID]*agent), jobs: make(map[string]*job), estimator: newEstimator(),
+		options: o, agents: make(map[AgentID]*agent), jobs: make(map[string]*job), estimator: newEstimator(), arrivals: newArrivals(),
 		deadlines: heap.New(func(a, b jobDeadline) bool { return a.deadline.Before(b.deadline) }),
 	}
 }
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -126,6 +126,7 @@
 		})
 		return
 	}
+	c.arrivals.add(now, j.Priority, float64(j.Count)*float64(j.Room.CPU)*float64(j.expectedWork))
 	c.jobs[j.ID] = j
 	c.deadlines.Push(jobDeadline{deadline: j.Deadline, job: j})
 	j.tasks = make([]*task, j.Count)
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -43,6 +43,13 @@
 	// remoteDataFactor is the factor by which a task takes longer on a rack other
 	// than that of its data.
 	remoteDataFactor = 1.5
+	// lateShare is the fraction of a minion's CPU that late tasks of jobs that have
+	// not started may fill. The rest is kept for tasks that can still be on time:
+	// in an overload, late work would otherwise make all that follows late too.
+	lateShare = 0.9
+	// maxDisplacing caps the pending orders of this entry at an agent whose queue
+	// is full of less urgent work.
+	maxDisplacing = 2
 	// meanWaitFraction is the fraction of a run's runtime after which room is
 	// free for a queued one, since the runs before it are on average half done.
 	meanWaitFraction = 0.5
@@ -77,9 +84,10 @@
 	}
 }
 
-// compareUrgency orders tasks that can still meet their objective first, by the
-// priority of their route and then by their latest start. Late tasks follow by
-// deadline.
+// compareUrgency orders tasks that can still meet their objective first. Among
+// them, tasks of started jobs precede the others, since the work done for a job
+// is lost if one of its tasks is late; then they go by the priority of their
+// route and by their latest start. Late tasks follow by deadline.
 func compareUrgency(now time.Time, a, b *task) int {
 	startA, startB := a.latestStart(), b.latestStart()
 	lateA, lateB := now.After(startA), now.After(startB)
@@ -90,6 +98,10 @@
 		return 1
 	case lateA:
 		return a.job.Deadline.Compare(b.job.Deadline)
+	case a.job.mayHaveStarted && !b.job.mayHaveStarted:
+		return -1
+	case b.job.mayHaveStarted && !a.job.mayHaveStarted:
+		return 1
 	case a.job.Priority != b.job.Priority:
 		return cmp.Compare(a.job.Priority, b.job.Priority)
 	}
@@ -143,8 +155,12 @@
 		if a.minion.Service != t.job.Service || !a.available(now) || !a.fits(t.job) || a.atTaskLimit(t.job) {
 			continue
 		}
+		if a.reservedFrom(now, t) {
+			continue
+		}
 		end := a.expectedEnd(t.job)
-		if a.expectedWait(t.job.Room) > c.options.MaxQueueWait || a.queueFull(t.job.Room) {
+		crowded := a.expectedWait(t.job.Room) > c.options.MaxQueueWait || a.queueFull(t.job.Room)
+		if crowded && !a.queuesLessUrgent(now, t) {
 			found.queuedEnd = min(found.queuedEnd, end)
 			continue
 		}
@@ -250,6 +266,22 @@
 	return excess > int64(work.QueuedShare*float64(a.minion.Room.CPU)) || len(a.pendingOrders) >= maxPendingOrders
 }
 
+// queuesLessUrgent reports whether the agent would queue the task in place of one
+// of lower priority. Agents queue the work of all entries, so they know best
+// which goes first.
+func (a *agent) queuesLessUrgent(now time.Time, t *task) bool {
+	return t.job.Priority < a.load.LeastUrgent && !now.After(t.latestStart()) && len(a.pendingOrders) < maxDisplacing
+}
+
+// reservedFrom reports whether the free room of the minion is kept for other
+// tasks, since this one is late and its job has not started.
+func (a *agent) reservedFrom(now time.Time, t *task) bool {
+	if t.job.mayHaveStarted || !now.After(t.latestStart()) {
+		return false
+	}
+	return a.committed().Plus(t.job.Room).CPU > int64(lateShare*float64(a.minion.Room.CPU))
+}
+
 // expectedWait returns the expected time until a task of this size has room.
 func (a *agent) expectedWait(need work.Room) time.Duration {
 	excess := a.committed().Plus(need).Minus(a.minion.Room)
