selector: Link each agent to ten entries of a large fleet

Cause: each agent kept a link to each entry, 13,200 streams at 55 entries and 240 agents. Loads are told less often the more entries are linked, so decisions went by loads that were a second old, and entries spent their processor time on probes.

Change: agents rank the entries by rendezvous hashing and link to the first ten that can be reached; up to ten entries nothing changes. Entries that can't be reached are replaced after 500 ms, at most six of them are tried on, and a link that is not needed any more is retired: its entry is told to send no more orders, and it is closed when its runs have ended. Lists of entries are kept by sender, since one that has just started knows only itself. Loads are told twice as often.

--- a/coupler/client.go
+++ b/coupler/client.go
@@ -18,6 +18,7 @@
 	"agatevalve/common/task"
 	"agatevalve/dialer"
 	"agatevalve/encoder"
+	"agatevalve/selector"
 	"agatevalve/supervisor"
 	v1 "agatevalve/wire/agatevalvev1"
 	"agatevalve/wire/agatevalvev1/agatevalvev1connect"
@@ -46,19 +47,24 @@
 	// Enqueue passes the orders of entries to the core. It returns false once the
 	// agent has stopped.
 	Enqueue func(supervisor.Event) bool
-	// EntriesReceived is called with a list of live entries that an entry has sent.
-	EntriesReceived func([]netip.AddrPort)
-	Log             *slog.Logger
+	// EntriesReceived is called with the list of live entries that the entry at the
+	// address source has sent.
+	EntriesReceived func(source netip.AddrPort, entries []netip.AddrPort)
+	// MaxEntries is the number of entries to link to; 0 for the default of package
+	// selector.
+	MaxEntries int
+	Log        *slog.Logger
 }
 
-// Client keeps an agent's links, one to each entry of a list. It is safe for
-// concurrent use.
+// Client keeps an agent's links, one each to a subset of the entries. It is safe
+// for concurrent use.
 type Client struct {
 	options        ClientOptions
 	lastLinkNumber atomic.Uint64
 
-	mu    sync.Mutex
-	links map[netip.AddrPort]*entryLink
+	mu       sync.Mutex
+	selector *selector.Selector
+	links    map[netip.AddrPort]*entryLink
 	// openLinks counts the links over which the entry has sent its first frame.
 	openLinks  atomic.Int64
 	closed     bool
@@ -79,41 +85,93 @@
 	linkNumber uint64
 	queue      *ring.Ring[supervisor.Command]
 	closeLink  context.CancelCauseFunc
+	// connectingSince is the time of the start, or of the end of the last link.
+	connectingSince time.Time
+	// retiring is true once the core was told that the open link is not needed.
+	retiring bool
 }
 
 // NewClient returns a client without links.
 func NewClient(o ClientOptions) *Client {
-	return &Client{options: o, links: make(map[netip.AddrPort]*entryLink)}
+	return &Client{
+		options: o, links: make(map[netip.AddrPort]*entryLink),
+		selector: selector.New(selector.Options{Agent: o.Self.Name, Degree: o.MaxEntries}),
+	}
 }
 
-// SetEntries opens links to these entries and stops attempts to connect to
-// others. Links to others that are open remain, since these entries are alive.
+// SetEntries names the entries that may be alive. The client opens links to some
+// of them, stops attempts to connect to others, and retires open links that are
+// not needed any more. It must be called regularly, since the choice depends on
+// which entries can be reached.
 func (c *Client) SetEntries(entries []netip.AddrPort) {
+	for _, ev := range c.updateLinks(entries) {
+		c.options.Enqueue(ev)
+	}
+}
+
+// updateLinks applies the choice of entries, and returns the events for links
+// that are no longer needed or needed again.
+func (c *Client) updateLinks(entries []netip.AddrPort) []supervisor.LinkRetiring {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
-		return
+		return nil
 	}
+	var events []supervisor.LinkRetiring
+	choice := c.selector.Choose(time.Now(), c.candidates(entries))
 	for address, l := range c.links {
-		if !slices.Contains(entries, address) && !l.isOpen() {
+		switch {
+		case l.isOpen():
+			if ev, changed := l.setRetiring(slices.Contains(choice.Excess, address)); changed {
+				events = append(events, ev)
+			}
+		case !slices.Contains(choice.Wanted, address):
 			l.cancel()
 			delete(c.links, address)
 		}
 	}
-	for _, address := range entries {
+	for _, address := range choice.Wanted {
 		if c.links[address] != nil {
 			continue
 		}
 		ctx, cancel := context.WithCancel(context.Background())
-		l := &entryLink{client: c, address: address, cancel: cancel}
+		l := &entryLink{client: c, address: address, cancel: cancel, connectingSince: time.Now()}
 		c.links[address] = l
 		c.goroutines.Go(func() { l.keepConnected(ctx) })
 	}
+	return events
+}
+
+// candidates returns the given entries and those with an open link, which are
+// alive whether or not a list names them.
+func (c *Client) candidates(entries []netip.AddrPort) []selector.Candidate {
+	candidates := make([]selector.Candidate, 0, len(entries))
+	for _, address := range entries {
+		candidate := selector.Candidate{Address: address}
+		if l := c.links[address]; l != nil {
+			candidate.Open, candidate.ConnectingSince = l.state()
+		}
+		candidates = append(candidates, candidate)
+	}
+	for address, l := range c.links {
+		if open, _ := l.state(); open && !slices.Contains(entries, address) {
+			candidates = append(candidates, selector.Candidate{Address: address, Open: true})
+		}
+	}
+	return candidates
 }
 
 // OpenLinks returns the number of open links.
 func (c *Client) OpenLinks() int { return int(c.openLinks.Load()) }
 
+// IsLinked reports whether a link to the entry at the address is open.
+func (c *Client) IsLinked(address netip.AddrPort) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.links[address]
+	return l != nil && l.isOpen()
+}
+
 // Send queues a command for the link to an entry without blocking. Without an
 // open link to the entry, the command is dropped.
 func (c *Client) Send(entry string, command supervisor.Command) {
@@ -126,12 +184,15 @@
 	}
 }
 
-// Cut closes a link. A new one is then opened.
+// Cut closes a link. A new one is then opened, unless the link was retired.
 func (c *Client) Cut(link uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, l := range c.links {
-		l.cut(link)
+	for address, l := range c.links {
+		if l.cut(link) {
+			l.cancel()
+			delete(c.links, address)
+		}
 	}
 }
 
@@ -147,9 +208,31 @@
 }
 
 func (l *entryLink) isOpen() bool {
+	open, _ := l.state()
+	return open
+}
+
+// state returns whether a link is open, and otherwise since when attempts to
+// connect have been made.
+func (l *entryLink) state() (open bool, connectingSince time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.linkNumber != 0
+	if l.linkNumber != 0 {
+		return true, time.Time{}
+	}
+	return false, l.connectingSince
+}
+
+// setRetiring records whether the open link is still needed, and returns the event
+// for the core if this has changed.
+func (l *entryLink) setRetiring(retiring bool) (ev supervisor.LinkRetiring, changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.linkNumber == 0 || l.retiring == retiring {
+		return supervisor.LinkRetiring{}, false
+	}
+	l.retiring = retiring
+	return supervisor.LinkRetiring{Entry: l.entry, Link: l.linkNumber, Retiring: retiring}, true
 }
 
 // enqueue queues a command if an open link leads to the entry, and reports whether
@@ -166,12 +249,16 @@
 	return true
 }
 
-func (l *entryLink) cut(link uint64) {
+// cut closes the open link if it has this number, and reports whether it was
+// retired.
+func (l *entryLink) cut(link uint64) (retired bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.linkNumber == link && l.closeLink != nil {
-		l.closeLink(errors.New("the agent cut the link"))
+	if l.linkNumber != link || l.closeLink == nil {
+		return false
 	}
+	l.closeLink(errors.New("the agent cut the link"))
+	return l.retiring
 }
 
 // keepConnected opens a new link, after a backoff, whenever the last one is
@@ -248,7 +335,7 @@
 	queue := ring.New[supervisor.Command](sendQueueSize)
 	l.mu.Lock()
 	previous := l.entry
-	l.entry, l.linkNumber, l.queue, l.closeLink = entry, linkNumber, queue, cancel
+	l.entry, l.linkNumber, l.queue, l.closeLink, l.retiring = entry, linkNumber, queue, cancel, false
 	l.mu.Unlock()
 	if previous != "" && previous != entry {
 		l.client.options.Enqueue(supervisor.LinkClosed{Entry: previous, Gone: true})
@@ -263,7 +350,7 @@
 	writer.Wait()
 	l.client.openLinks.Add(-1)
 	l.mu.Lock()
-	l.linkNumber = 0
+	l.linkNumber, l.connectingSince = 0, time.Now()
 	l.mu.Unlock()
 	l.client.options.Enqueue(supervisor.LinkClosed{Entry: entry, Link: linkNumber})
 	l.client.options.Log.Info("coupler: A link was closed", "entry", entry, "link", linkNumber, "cause", context.Cause(ctx))
@@ -309,7 +396,7 @@
 		if err != nil {
 			l.client.options.Log.Warn("coupler: Ignored an invalid list of entries", "entry", entry, "error", err)
 		} else {
-			l.client.options.EntriesReceived(entries)
+			l.client.options.EntriesReceived(l.address, entries)
 		}
 	}
 	return l.client.options.Enqueue(ev)
--- a/coupler/coupler_test.go
+++ b/coupler/coupler_test.go
@@ -76,7 +76,7 @@
 	p.httpServer.Start()
 	p.address = netip.MustParseAddrPort(p.httpServer.Listener.Addr().String())
 	p.client = coupler.NewClient(coupler.ClientOptions{
-		Self: task.Process{Name: "agent-1", Incarnation: 9}, Enqueue: p.agentEvents.record, EntriesReceived: func([]netip.AddrPort) {}, Log: discard,
+		Self: task.Process{Name: "agent-1", Incarnation: 9}, Enqueue: p.agentEvents.record, EntriesReceived: func(netip.AddrPort, []netip.AddrPort) {}, Log: discard,
 	})
 	p.client.SetEntries([]netip.AddrPort{p.address})
 	t.Cleanup(p.httpServer.Close)
--- a/launcher/agent.go
+++ b/launcher/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -17,8 +18,8 @@
 )
 
 const (
-	// discoveryInterval is the interval at which an agent without open links looks
-	// for entries.
+	// discoveryInterval is the interval at which an agent updates its links, and
+	// looks for entries while it has none.
 	discoveryInterval = 300 * time.Millisecond
 	// storeReadInterval is the minimum interval between two reads of the list of
 	// entries in the store.
@@ -38,9 +39,15 @@
 	linkClient   *coupler.Client
 	store        *platform.StoreClient
 	storedMinion *minionRecord
-	// seeds, reported and stored are the link addresses of entries from the
-	// settings, from entries that are linked, and from the store.
-	seeds, reported, stored atomic.Pointer[[]netip.AddrPort]
+	// seeds and stored are the link addresses of entries from the settings and
+	// from the store.
+	seeds, stored atomic.Pointer[[]netip.AddrPort]
+
+	mu sync.Mutex
+	// reported has the lists of link addresses that entries have sent, by the
+	// address of the sender. An entry that has just started, or is cut off from the
+	// store, sends an incomplete list.
+	reported map[netip.AddrPort][]netip.AddrPort
 }
 
 // RunAgent runs an agent until the process receives a signal to stop.
@@ -49,9 +56,8 @@
 	if err != nil {
 		return err
 	}
-	a := &agentProcess{process: p, storedMinion: newMinionRecord()}
+	a := &agentProcess{process: p, storedMinion: newMinionRecord(), reported: make(map[netip.AddrPort][]netip.AddrPort)}
 	empty := []netip.AddrPort{}
-	a.reported.Store(&empty)
 	a.stored.Store(&empty)
 	a.reload(p.settings)
 	if err := a.start(); err != nil {
@@ -117,15 +123,17 @@
 }
 
 // entriesReceived handles a list of live entries that an entry has sent.
-func (a *agentProcess) entriesReceived(entries []netip.AddrPort) {
-	a.reported.Store(&entries)
+func (a *agentProcess) entriesReceived(source netip.AddrPort, entries []netip.AddrPort) {
+	a.mu.Lock()
+	a.reported[source] = entries
+	a.mu.Unlock()
 	a.updateLinks()
 }
 
-// updateLinks opens links to all known entries. The lists from the settings and
-// the store may be stale, so they are used only while no link is open.
+// updateLinks opens links to known entries. The lists from the settings and the
+// store may be stale, so they are used only while no link is open.
 func (a *agentProcess) updateLinks() {
-	addresses := slices.Clone(*a.reported.Load())
+	addresses := a.reportedEntries()
 	if a.linkClient.OpenLinks() == 0 {
 		addresses = append(addresses, *a.seeds.Load()...)
 		addresses = append(addresses, *a.stored.Load()...)
@@ -134,8 +142,23 @@
 	a.linkClient.SetEntries(slices.Compact(addresses))
 }
 
-// discoverEntries retries known entries and reads the stored list while no link
-// is open.
+// reportedEntries returns the entries that linked entries have named. Without a
+// link it returns those that were named last.
+func (a *agentProcess) reportedEntries() []netip.AddrPort {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.linkClient.OpenLinks() > 0 {
+		maps.DeleteFunc(a.reported, func(source netip.AddrPort, _ []netip.AddrPort) bool { return !a.linkClient.IsLinked(source) })
+	}
+	var addresses []netip.AddrPort
+	for _, entries := range a.reported {
+		addresses = append(addresses, entries...)
+	}
+	return addresses
+}
+
+// discoverEntries updates the links regularly, and reads the stored list while no
+// link is open.
 func (a *agentProcess) discoverEntries(ctx context.Context) {
 	ticker := time.NewTicker(discoveryInterval)
 	defer ticker.Stop()
@@ -146,10 +169,7 @@
 			return
 		case <-ticker.C:
 		}
-		if a.linkClient.OpenLinks() > 0 {
-			continue
-		}
-		if time.Since(lastRead) > storeReadInterval {
+		if a.linkClient.OpenLinks() == 0 && time.Since(lastRead) > storeReadInterval {
 			lastRead = time.Now()
 			a.readStoredEntries(ctx)
 		}
--- a/rehearser/agent.go
+++ b/rehearser/agent.go
@@ -75,9 +75,8 @@
 	incarnation := a.incarnation
 	a.stepPeriodically(incarnation)
 	a.reportStatus(incarnation)
-	for _, e := range a.world.entries {
-		a.reconnect(e)
-	}
+	a.linking = newLinking(fmt.Sprintf("agent-%02d", a.index), a.world.day.LinksPerAgent)
+	a.linkPeriodically(incarnation)
 }
 
 // reportStatus delivers the minion's status reports to the core at a fixed
@@ -102,11 +101,12 @@
 }
 
 // reconnect opens a link to an entry after a delay, unless there is one. It
-// retries until both processes are up and can reach each other.
+// retries until both processes are up and can reach each other, or the entry is
+// not wanted any more.
 func (a *agentNode) reconnect(e *entryNode) {
 	incarnation := a.incarnation
 	a.world.after(reconnectDelay, func() {
-		if a.incarnation != incarnation || a.down {
+		if _, wanted := a.linking.connectingSince[e.index]; !wanted || a.incarnation != incarnation || a.down {
 			return
 		}
 		if e.down || a.world.now.Before(e.frozenUntil) || a.world.now.Before(a.frozenUntil) || a.world.isPartitioned(e, a) {
@@ -119,6 +119,8 @@
 		a.world.lastSequence++
 		k := &link{number: uint64(a.world.lastSequence), entry: e, entryIncarnation: e.incarnation, agent: a, agentIncarnation: incarnation}
 		e.links[k.number], a.links[e.name()] = k, k
+		delete(a.linking.connectingSince, e.index)
+		a.linking.retiring[e.index] = false
 		a.deliver(supervisor.LinkOpened{Entry: e.name(), Link: k.number})
 		k.ping()
 	})
--- a/rehearser/days.go
+++ b/rehearser/days.go
@@ -24,6 +24,9 @@
 		{"desk-1.6", "a long rush", newDay(seed, desk, 1.6)},
 		{"reed-1.0", "minions of which few are fast", newDay(seed, reed, 1)},
 		{"reed-1.6", "a long rush there", newDay(seed, reed, 1.6)},
+		{"orders-0.9", "wide tasks on few minions", newOrdersDay(seed, 0.9)},
+		{"orders-1.1", "a little more than they can do", newOrdersDay(seed, 1.1)},
+		{"orders-1.3", "a rush there", newOrdersDay(seed, 1.3)},
 	}
 	addDay := func(name, description string, change func(*Day)) {
 		day := newDay(seed, desk, 1)
@@ -53,10 +56,17 @@
 }
 
 // LargeDay returns a day of a system with 13 entries and 71 minions.
-func LargeDay(seed uint64) Day {
-	day := newDay(seed, []float64{0.7, 0.7, 1.7}, 6)
-	day.Length, day.Entries = 4*time.Second, 13
-	for len(day.DurationFactors) < 71 {
+func LargeDay(seed uint64) Day { return newFleetDay(seed, 13, 71) }
+
+// FleetDay returns a day of a system with 55 entries and 240 minions, of which
+// each agent knows a few entries only.
+func FleetDay(seed uint64) Day { return newFleetDay(seed, 55, 240) }
+
+// newFleetDay returns a day of the desk, with its load for each minion.
+func newFleetDay(seed uint64, entries, minions int) Day {
+	day := newDay(seed, []float64{0.7, 0.7, 1.7}, float64(minions)/11)
+	day.Length, day.Entries = 4*time.Second, entries
+	for len(day.DurationFactors) < minions {
 		day.DurationFactors = append(day.DurationFactors, day.DurationFactors[len(day.DurationFactors)-3])
 	}
 	return day
@@ -78,3 +88,15 @@
 	}
 	return day
 }
+
+// newOrdersDay returns a day of eight minions with tasks of a tenth of their
+// room each, which is what is left of eleven after losses. load 1 is about all
+// that they can do.
+func newOrdersDay(seed uint64, load float64) Day {
+	day := newDay(seed, []float64{0.55, 1.2, 1.2, 1.2}, load)
+	day.DurationFactors, day.Room = day.DurationFactors[:8], work.Room{CPU: 37000, Memory: 65536}
+	for i := range day.Routes {
+		day.Routes[i].CPU = 3100
+	}
+	return day
+}
--- a/rehearser/rehearser.go
+++ b/rehearser/rehearser.go
@@ -78,6 +78,9 @@
 	// DurationFactors has one element for each minion: the ratio of a task's
 	// duration there to its duration at a minion of speed 1.
 	DurationFactors []float64
+	// LinksPerAgent is the number of entries that an agent links to; 0 for the
+	// default of package selector.
+	LinksPerAgent int
 	// Room is the capacity of each minion.
 	Room   work.Room
 	Routes []Route
@@ -254,10 +257,11 @@
 type agentNode struct {
 	node[supervisor.Event]
 
-	index  int
-	core   *supervisor.Core
-	links  map[string]*link
-	minion *emulator.LeasedMinion
+	index   int
+	core    *supervisor.Core
+	links   map[string]*link
+	linking linking
+	minion  *emulator.LeasedMinion
 	// latestEndTimer numbers the timers for the next end of a run; older ones
 	// are ignored.
 	latestEndTimer int
@@ -379,7 +383,10 @@
 	if l.agent.incarnation == l.agentIncarnation {
 		delete(l.agent.links, l.entryName())
 		l.agent.deliver(supervisor.LinkClosed{Entry: l.entryName(), Link: l.number, Gone: gone})
-		l.agent.reconnect(l.entry)
+		if !l.agent.linking.retiring[l.entry.index] {
+			l.agent.linking.connectingSince[l.entry.index] = l.agent.world.now
+			l.agent.reconnect(l.entry)
+		}
 	}
 }
 
--- a/rehearser/rehearser_test.go
+++ b/rehearser/rehearser_test.go
@@ -63,3 +63,57 @@
 		})
 	}
 }
+
+// In a rush that exceeds what the minions can do, callers of the most urgent
+// route lose a tenth at most, and hardly any job is given up after its start.
+func TestRushServesUrgentCallersAndWastesLittle(t *testing.T) {
+	is := is.New(t)
+	for _, d := range rehearser.Days(1) {
+		if d.Name != "orders-1.3" {
+			continue
+		}
+		result := rehearser.Play(d.Day)
+		t.Logf("%+v", result)
+		is.Equal(result.Violations, nil)
+		is.True(result.WorthByRoute["hold"] >= 0.9)
+		is.True(float64(result.Unfinished) <= 0.02*float64(result.Jobs))
+	}
+}
+
+// Agents that know a few of many entries serve callers as well as those that
+// know all, with fewer frames.
+func TestAFewLinksOfEachAgentServeALargeFleet(t *testing.T) {
+	is := is.New(t)
+	play := func(links int) rehearser.Result {
+		day := rehearser.FleetDay(1)
+		day.Entries, day.DurationFactors = 40, day.DurationFactors[:80]
+		day.Length, day.LinksPerAgent = 800*time.Millisecond, links
+		for i := range day.Routes {
+			day.Routes[i].JobsPerSecond *= 1.4 / 3
+		}
+		return rehearser.Play(day)
+	}
+	few, all := play(0), play(40)
+	t.Logf("few: %+v\nall: %+v", few, all)
+	is.Equal(few.Violations, nil)
+	is.True(few.Worth >= all.Worth)
+	is.True(few.Frames < all.Frames)
+}
+
+// Entries that are lost together are replaced by others at every agent, so that
+// what is left serves on.
+func TestFleetServesOnAfterHalfOfItsEntriesAreKilled(t *testing.T) {
+	is := is.New(t)
+	day := rehearser.FleetDay(2)
+	day.Entries, day.DurationFactors, day.Length = 24, day.DurationFactors[:48], 5*time.Second
+	for i := range day.Routes {
+		day.Routes[i].JobsPerSecond /= 5
+	}
+	for i := range 12 {
+		day.Faults = append(day.Faults, rehearser.Fault{Kind: rehearser.KillEntry, At: 2 * time.Second, Entry: 2 * i})
+	}
+	result := rehearser.Play(day)
+	t.Logf("%+v", result)
+	is.Equal(result.Violations, nil)
+	is.True(float64(result.OnTime) >= 0.9*float64(result.Jobs))
+}
--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -44,7 +44,7 @@
 	Leaving bool
 }
 
-// CutLink closes a link. The agent then opens a new one.
+// CutLink closes a link. The agent then opens a new one, unless it was retired.
 type CutLink struct {
 	Entry string
 	Link  uint64
--- a/supervisor/core.go
+++ b/supervisor/core.go
@@ -199,7 +199,8 @@
 }
 
 // expireEntries stops the runs of silent entries, drops ends that stayed
-// unacknowledged, and deletes entries that have neither a link nor runs.
+// unacknowledged, closes retired links, and deletes entries that have neither a
+// link nor runs.
 func (c *Core) expireEntries(now time.Time) {
 	deleted := false
 	for _, e := range c.sortedEntries {
@@ -207,6 +208,10 @@
 			c.stopEntryRuns(now, e.name, "the entry is silent")
 		}
 		e.dropExpiredEnds(now)
+		if e.retired(now) {
+			c.emit(CutLink{Entry: e.name, Link: e.link})
+			e.link = 0
+		}
 		if e.link == 0 && e.runCount == 0 && now.Sub(e.lastFrameAt) > unackedEndRetention {
 			delete(c.entries, e.name)
 			deleted = true
--- a/supervisor/entry.go
+++ b/supervisor/entry.go
@@ -15,8 +15,12 @@
 	// Simulated days give the same results without an interval and with twice
 	// these values (docs/decisions.md), and the CPU use of entries grows with
 	// the number of frames.
-	minLoadInterval      = 40 * time.Millisecond
-	loadIntervalPerEntry = 20 * time.Millisecond
+	minLoadInterval      = 20 * time.Millisecond
+	loadIntervalPerEntry = 10 * time.Millisecond
+	// retirementPeriod is the time from the notice to an entry that its link is
+	// to be closed until the link is closed. Orders that were sent before the
+	// notice was read arrive within it, and are refused.
+	retirementPeriod = time.Second
 )
 
 // entry is the state of one incarnation of an entry, as known to the agent; the
@@ -27,6 +31,9 @@
 	runCount int
 	// link is the number of the open link; 0 for none.
 	link uint64
+	// retiringSince is the time at which the entry was told to send no more
+	// orders, because its link is to be closed; zero if it was not.
+	retiringSince time.Time
 	// lastFrameAt is the time at which the entry last opened a link or sent a
 	// frame over it.
 	lastFrameAt time.Time
@@ -53,6 +60,12 @@
 	endedAt time.Time
 }
 
+// retired reports whether the link may be closed: the entry has been told, all
+// its runs have ended, and it knows how.
+func (e *entry) retired(now time.Time) bool {
+	return e.link != 0 && !e.retiringSince.IsZero() && now.Sub(e.retiringSince) > retirementPeriod && e.runCount == 0 && len(e.unackedEnds) == 0
+}
+
 // dropExpiredEnds drops ends that have gone unacknowledged for
 // unackedEndRetention.
 func (e *entry) dropExpiredEnds(now time.Time) {
@@ -100,6 +113,7 @@
 		if r.phase == queued {
 			l.Queued = l.Queued.Plus(r.order.Room)
 			l.QueuedWork += c.expectedDuration(r.order)
+			l.LeastUrgent = max(l.LeastUrgent, r.order.Priority)
 		}
 	}
 	return l
--- a/supervisor/events.go
+++ b/supervisor/events.go
@@ -27,6 +27,15 @@
 	Gone  bool
 }
 
+// LinkRetiring means that a link is not needed any more, or is needed after all.
+// The core tells the entry to send no more orders, and closes the link once all
+// runs of the entry have ended.
+type LinkRetiring struct {
+	Entry    string
+	Link     uint64
+	Retiring bool
+}
+
 // FrameReceived is a frame received from an entry.
 type FrameReceived struct {
 	Entry string
@@ -137,7 +146,7 @@
 	if ev.Link < e.link {
 		return
 	}
-	e.link, e.lastFrameAt = ev.Link, now
+	e.link, e.lastFrameAt, e.retiringSince = ev.Link, now, time.Time{}
 	e.ordersReceived, e.reportedOrders = 0, 0
 	e.reportedLoad, e.reportedAt = c.load(), now
 	c.emit(ReportSnapshot{
@@ -157,6 +166,18 @@
 	}
 }
 
+func (ev LinkRetiring) apply(c *Core, now time.Time) {
+	e := c.entry(ev.Entry)
+	if e.link != ev.Link || e.retiringSince.IsZero() != ev.Retiring {
+		return
+	}
+	e.retiringSince = time.Time{}
+	if ev.Retiring {
+		e.retiringSince = now
+	}
+	c.reportMinionTo(e)
+}
+
 func (ev FrameReceived) apply(c *Core, now time.Time) {
 	e := c.entry(ev.Entry)
 	if e.link != ev.Link {
@@ -182,7 +203,7 @@
 	if c.runs[o.Run] != nil && c.runs[o.Run].entry == entry {
 		return
 	}
-	if reason := c.refusalReason(o); reason != work.ReasonNone {
+	if reason := c.refusalReason(entry, o); reason != work.ReasonNone {
 		c.reportEnd(now, entry, work.Report{Run: o.Run, State: work.Refused, Reason: reason})
 		return
 	}
@@ -190,9 +211,9 @@
 }
 
 // refusalReason returns why an order can't be accepted, or ReasonNone.
-func (c *Core) refusalReason(o work.Order) work.Reason {
+func (c *Core) refusalReason(entry string, o work.Order) work.Reason {
 	switch {
-	case c.leaving || c.minion.Draining || c.minion.departed:
+	case c.leaving || !c.entry(entry).retiringSince.IsZero() || c.minion.Draining || c.minion.departed:
 		return work.ReasonLeaving
 	case !c.minion.usable():
 		return work.ReasonUnreachable
@@ -257,11 +278,18 @@
 func (c *Core) reportMinion() {
 	for _, e := range c.sortedEntries {
 		if e.link != 0 {
-			c.emit(ReportMinion{Entry: e.name, Minion: c.minion.Minion, Usable: c.minion.usable(), Leaving: c.leaving})
+			c.reportMinionTo(e)
 		}
 	}
 }
 
+// reportMinionTo sends the minion's state to one entry. A link that is to be
+// closed is reported like an agent that leaves.
+func (c *Core) reportMinionTo(e *entry) {
+	leaving := c.leaving || !e.retiringSince.IsZero()
+	c.emit(ReportMinion{Entry: e.name, Minion: c.minion.Minion, Usable: c.minion.usable(), Leaving: leaving})
+}
+
 func (ev MinionDeparted) apply(c *Core, now time.Time) {
 	if ev.Name != c.minion.Name || c.minion.departed {
 		return
