scheduler: Refuse nothing for a backlog while agents connect

Change: the admission waits for the end of the period in which agents find an entry. The test of refusals for a backlog lets that period pass first; the rest of it is unchanged.

--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -56,8 +56,8 @@
 func (c *Core) checkAdmission(now time.Time, j *job) (reason string, retry time.Duration) {
 	f := c.assessFeasibility(now, j)
 	switch {
-	case !f.available && c.inAgentGrace(now):
-		return "", 0
+	case c.inAgentGrace(now):
+		return "", 0 // Agents are still connecting, so it isn't known what can be served.
 	case !f.fitting:
 		return "no minion of the service can hold its tasks", minRetryAfter
 	case !f.available:
--- a/scheduler/admission_test.go
+++ b/scheduler/admission_test.go
@@ -44,6 +44,7 @@
 func TestJobThatTheBacklogMakesLateIsRefusedAtOnce(t *testing.T) {
 	is := is.New(t)
 	b := newTestbed(1)
+	b.advance(time.Second) // All agents have connected by now.
 	b.fillFirstAgent()
 	refused := commandsOf[scheduler.Answer](nil)
 	accepted := 0
--- a/scheduler/overload_test.go
+++ b/scheduler/overload_test.go
@@ -109,3 +109,22 @@
 	is.Equal(len(placedJobs(b.step(same))), 0)
 	is.Equal(placedJobs(b.step(b.submission("urgent", 3))), []string{"urgent", "urgent"}) // No more until the agent reports.
 }
+
+// Guards against refusals by an entry that has just started and knows the first
+// of its agents only. After a loss of power it refused a fifth of the callers of
+// the next two seconds.
+func TestStartingEntryRefusesNothingForABacklog(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(1)
+	placed := 0
+	for i := range 40 {
+		out := b.step(b.submission(fmt.Sprint("job-", i), 2))
+		is.Equal(len(commandsOf[scheduler.Answer](out)), 0)
+		placed += len(commandsOf[scheduler.Place](out))
+	}
+	for i := range 9 {
+		out := b.step(scheduler.LinkOpened{Agent: agent(i + 1), Link: uint64(i + 2), Minion: minion(i + 1), Usable: true})
+		placed += len(commandsOf[scheduler.Place](out))
+	}
+	is.Equal(placed, 80)
+}
