clock: Count the time in which a VM was suspended

Cause: the steady clock of package time stands still while a VM is suspended. An agent that woke after three seconds saw no pause: it kept its links, believed in answers of its minion and in entries that had been silent for seconds, and started runs from its queue whose callers had submitted the job again elsewhere. An entry saw deadlines ahead that had passed.

--- a/coupler/client.go
+++ b/coupler/client.go
@@ -14,6 +14,7 @@
 
 	"connectrpc.com/connect"
 
+	"agatevalve/common/clock"
 	"agatevalve/common/ring"
 	"agatevalve/common/task"
 	"agatevalve/dialer"
@@ -373,7 +374,7 @@
 // handleFrame passes the content of a frame to the core and the list of entries
 // to EntriesReceived. It returns false once the agent has stopped.
 func (l *entryLink) handleFrame(frame *v1.RunOrders, entry string, linkNumber uint64) bool {
-	now := time.Now()
+	now := clock.Now()
 	ev := supervisor.FrameReceived{Entry: entry, Link: linkNumber, Acked: frame.GetAcked()}
 	for _, s := range frame.GetStarts() {
 		order, err := orderFromWire(frame, s, now)
--- a/coupler/server.go
+++ b/coupler/server.go
@@ -13,6 +13,7 @@
 
 	"connectrpc.com/connect"
 
+	"agatevalve/common/clock"
 	"agatevalve/common/ring"
 	"agatevalve/common/task"
 	"agatevalve/common/work"
@@ -275,6 +276,6 @@
 			frame.Stops = append(frame.Stops, runToWire(c.Run))
 		}
 	}
-	ordersToWire(frame, orders, time.Now())
+	ordersToWire(frame, orders, clock.Now())
 	return frame, len(orders)+len(frame.GetStops()) > 0
 }
--- a/jobber/jobber.go
+++ b/jobber/jobber.go
@@ -12,6 +12,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"agatevalve/common/clock"
 	"agatevalve/common/ring"
 	"agatevalve/common/work"
 	"agatevalve/scheduler"
@@ -130,7 +131,7 @@
 	}
 	select {
 	case result := <-results:
-		j.metrics.answerTime.UpdateSince(job.Arrived)
+		j.metrics.answerTime.Update(clock.Since(job.Arrived))
 		return result
 	case <-ctx.Done():
 		j.Enqueue(scheduler.Withdrawn{Job: job.ID, Ticket: ticket})
@@ -198,7 +199,7 @@
 		case <-j.events.Ready():
 		}
 		events, _ = j.events.TakeAll(events[:0])
-		now := time.Now()
+		now := clock.Now()
 		for _, command := range j.core.Step(now, events) {
 			j.execute(command)
 		}
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -12,6 +12,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"agatevalve/common/clock"
 	"agatevalve/common/ring"
 	"agatevalve/common/work"
 	"agatevalve/supervisor"
@@ -186,7 +187,7 @@
 		case <-m.events.Ready():
 		}
 		events, _ = m.events.TakeAll(events[:0])
-		for _, command := range m.core.Step(time.Now(), events) {
+		for _, command := range m.core.Step(clock.Now(), events) {
 			m.execute(ctx, command)
 		}
 		clear(events)
@@ -266,15 +267,15 @@
 	call, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
 	m.metrics.stops.Inc(1)
-	clock, err := m.options.Minion.Stop(call, order)
+	minionTime, err := m.options.Minion.Stop(call, order)
 	if err != nil {
 		m.options.Log.Info("supervisor: A stop had no answer", "run", order.Run.String(), "error", err)
 	}
-	m.Enqueue(supervisor.StopAnswered{Run: order.Run, Answered: err == nil, Clock: clock})
+	m.Enqueue(supervisor.StopAnswered{Run: order.Run, Answered: err == nil, Clock: minionTime})
 }
 
 func (m *Minder) renewLease(ctx context.Context, order supervisor.RenewLease) {
-	sentAt := time.Now()
+	sentAt := clock.Now()
 	call, cancel := context.WithTimeout(ctx, order.Wait+order.AnswerTimeout)
 	defer cancel()
 	m.metrics.renewals.Inc(1)
@@ -282,7 +283,7 @@
 	if err != nil {
 		m.metrics.renewalsFailed.Inc(1)
 		if ctx.Err() == nil {
-			m.options.Log.Info("supervisor: A renewal of the lease failed", "minion", order.Minion, "took", time.Since(sentAt), "error", err)
+			m.options.Log.Info("supervisor: A renewal of the lease failed", "minion", order.Minion, "took", clock.Since(sentAt), "error", err)
 		}
 		m.Enqueue(supervisor.RenewalFailed{ListOnly: order.ListOnly})
 		return
--- a/rehearser/agent.go
+++ b/rehearser/agent.go
@@ -93,7 +93,7 @@
 
 // stepCore steps the core and executes its commands.
 func (a *agentNode) stepCore(events []supervisor.Event) {
-	commands := a.core.Step(a.world.now, events)
+	commands := a.core.Step(a.now(), events)
 	a.world.verifier.countStep(len(events), len(commands))
 	for _, command := range commands {
 		a.execute(command)
@@ -237,7 +237,7 @@
 // minion delays the response until a run ends or the requested wait is over
 // (long polling).
 func (a *agentNode) renewLease(c supervisor.RenewLease) {
-	requestedAt, incarnation, minion := a.world.now, a.incarnation, a.minion
+	requestedAt, incarnation, minion := a.now(), a.incarnation, a.minion
 	listRuns := func(m *emulator.LeasedMinion) supervisor.Event {
 		running, ended := m.RenewLease(a.world.now, c)
 		return supervisor.RunsListed{
--- a/rehearser/faults.go
+++ b/rehearser/faults.go
@@ -13,13 +13,11 @@
 	case KillAgent:
 		w.killAgent(a)
 	case FreezeEntry:
-		e.frozenUntil = w.now.Add(f.For)
+		e.freeze(f.For)
 		w.after(silenceTimeout, func() { w.closeLinks(func(k *link) bool { return k.entry == e && w.now.Before(e.frozenUntil) }) })
-		w.after(f.For, e.step)
 	case FreezeAgent:
-		a.frozenUntil = w.now.Add(f.For)
+		a.freeze(f.For)
 		w.after(silenceTimeout, func() { w.closeLinks(func(k *link) bool { return k.agent == a && w.now.Before(a.frozenUntil) }) })
-		w.after(f.For, a.step)
 	case CutLink:
 		w.partitionLink(e, a, f.For)
 	default:
--- a/rehearser/node.go
+++ b/rehearser/node.go
@@ -11,8 +11,11 @@
 	// frozenUntil is the end of a freeze, in which the process handles no
 	// events.
 	frozenUntil time.Time
-	inbox       []E
-	down        bool
+	// clockLag is the time in which the process was frozen and its clock stood
+	// still; see Day.ClockStopsWhileFrozen.
+	clockLag time.Duration
+	inbox    []E
+	down     bool
 	// process steps the core with the events and executes its commands.
 	process func(events []E)
 }
@@ -48,6 +51,21 @@
 	})
 }
 
+// now returns the time on the clock of the process.
+func (n *node[E]) now() time.Time { return n.world.now.Add(-n.clockLag) }
+
+// freeze stops the process for a time, after which it handles what has arrived
+// meanwhile.
+func (n *node[E]) freeze(d time.Duration) {
+	n.frozenUntil = n.world.now.Add(d)
+	n.world.after(d, func() {
+		if n.world.day.ClockStopsWhileFrozen {
+			n.clockLag += d
+		}
+		n.step()
+	})
+}
+
 // step handles the events in the inbox unless the process is down or frozen.
 func (n *node[E]) step() {
 	if n.down || n.world.now.Before(n.frozenUntil) {
--- a/rehearser/rehearser.go
+++ b/rehearser/rehearser.go
@@ -99,6 +99,9 @@
 	// IgnoreLeaseExpiry injects a fault: minions continue runs after their
 	// lease has expired.
 	IgnoreLeaseExpiry bool
+	// ClockStopsWhileFrozen injects a fault: the clocks of processes don't count
+	// the time in which they were frozen, as the steady clock of a suspended VM.
+	ClockStopsWhileFrozen bool
 	// ExtraAttempts injects a fault: entries make this many attempts more than
 	// the route allows.
 	ExtraAttempts int
@@ -301,7 +304,7 @@
 
 // stepCore steps the core and executes its commands.
 func (e *entryNode) stepCore(events []scheduler.Event) {
-	commands := e.core.Step(e.world.now, events)
+	commands := e.core.Step(e.now(), events)
 	e.world.verifier.countStep(len(events), len(commands))
 	for _, command := range commands {
 		e.execute(command)
--- a/rehearser/rehearser_test.go
+++ b/rehearser/rehearser_test.go
@@ -117,3 +117,29 @@
 	is.Equal(result.Violations, nil)
 	is.True(float64(result.OnTime) >= 0.9*float64(result.Jobs))
 }
+
+// A VM that was suspended may go on with what it was allowed to do before. Its
+// agent must not start the runs that wait in its queue: their entry has placed
+// them elsewhere.
+func TestClocksThatStopInASuspensionAreDetected(t *testing.T) {
+	play := func(clockStops bool) []string {
+		var violations []string
+		for seed := range uint64(4) {
+			day := deskDay(seed)
+			day.Length, day.ClockStopsWhileFrozen = 6*time.Second, clockStops
+			for i := range day.Routes {
+				day.Routes[i].JobsPerSecond *= 1.6
+			}
+			for n := range 11 {
+				day.Faults = append(day.Faults, rehearser.Fault{
+					Kind: rehearser.FreezeAgent, At: time.Duration(400*n) * time.Millisecond, For: 2950 * time.Millisecond, Minion: n,
+				})
+			}
+			violations = append(violations, rehearser.Play(day).Violations...)
+		}
+		return violations
+	}
+	is := is.New(t)
+	is.Equal(play(false), nil)
+	is.True(len(play(true)) > 0)
+}
