supervisor, jobber: Wake up less often

Agents stepped every 10 ms while they held runs, entries while they had jobs, and agents told each of ten entries their load every 100 ms.

Change: agents step every 10 ms only while an answer of the minion is due, entries while tasks wait; otherwise by the next deadline, at most 50 ms later. The interval of loads grows with the square of the linked entries. Entries keep the list of entries that goes with frames in place of making it for each frame, under a lock; one that was announced before its first list still announces itself.

--- a/jobber/jobber.go
+++ b/jobber/jobber.go
@@ -21,10 +21,8 @@
 const (
 	// eventQueueSize caps the events that wait for the core.
 	eventQueueSize = 16384
-	// busyStepInterval and idleStepInterval are the intervals between steps
-	// without events, with and without unanswered jobs. Deadlines are kept to
-	// within busyStepInterval.
-	busyStepInterval = 10 * time.Millisecond
+	// idleStepInterval is the interval between steps without events and without
+	// unanswered jobs.
 	idleStepInterval = 200 * time.Millisecond
 	// refreshInterval is the interval at which unstartedJobs and usableAgents are
 	// updated.
@@ -209,8 +207,8 @@
 			j.refreshCounts()
 		}
 		interval := idleStepInterval
-		if j.core.UnansweredJobs() > 0 {
-			interval = busyStepInterval
+		if next, due := j.core.NextStep(now); due {
+			interval = next.Sub(now)
 		}
 		timer.Reset(interval)
 	}
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,10 +39,14 @@
 	registrar      *registrar.Registrar
 	callerListener *listener.Listener
 	leaving        atomic.Bool
-	// peers are the link addresses of other entries; nil before the first list.
-	// seeds are those from the settings.
-	peers atomic.Pointer[[]netip.AddrPort]
-	seeds atomic.Pointer[[]netip.AddrPort]
+	// entries are the link addresses of this entry, which is first, and of the
+	// others; seeds are those from the settings.
+	entries atomic.Pointer[[]netip.AddrPort]
+	seeds   atomic.Pointer[[]netip.AddrPort]
+	// listed is true once the entries have been read from the store.
+	listed atomic.Bool
+	// mu is held while entries is changed.
+	mu sync.Mutex
 }
 
 // RunEntry runs an entry until the process receives a signal to stop.
@@ -52,6 +57,7 @@
 	}
 	e := &entryProcess{process: p}
 	e.reload(p.settings)
+	e.setPeers(nil)
 	if err := e.start(); err != nil {
 		return p.finish(err)
 	}
@@ -125,22 +131,31 @@
 	}
 	slices.SortFunc(peers, netip.AddrPort.Compare)
 	peers = slices.Compact(peers)
-	isFirstList := e.peers.Load() == nil
-	e.peers.Store(&peers)
-	if isFirstList {
+	e.mu.Lock()
+	e.setPeers(peers)
+	e.mu.Unlock()
+	if !e.listed.Swap(true) {
 		e.announce(peers)
 	}
 }
 
+// setPeers replaces the link addresses of the other entries. The caller holds mu,
+// except at the start.
+func (e *entryProcess) setPeers(peers []netip.AddrPort) {
+	entries := append([]netip.AddrPort{e.settings.LinkAddress(e.settings.Address)}, peers...)
+	e.entries.Store(&entries)
+}
+
 // addPeer adds an entry that has announced itself, before it is read from the
 // store.
 func (e *entryProcess) addPeer(address netip.AddrPort) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	entries := e.knownEntries()
 	if slices.Contains(entries, address) {
 		return
 	}
-	peers := append(slices.Clone(entries[1:]), address)
-	e.peers.Store(&peers)
+	e.setPeers(append(slices.Clone(entries[1:]), address))
 	e.log.Info("launcher: Added an entry that announced itself", "address", address)
 }
 
@@ -157,20 +172,14 @@
 }
 
 // knownEntries returns the link addresses of this entry, which is first, and of
-// its peers.
-func (e *entryProcess) knownEntries() []netip.AddrPort {
-	own := []netip.AddrPort{e.settings.LinkAddress(e.settings.Address)}
-	if peers := e.peers.Load(); peers != nil {
-		return append(own, *peers...)
-	}
-	return own
-}
+// its peers. The caller must not change them.
+func (e *entryProcess) knownEntries() []netip.AddrPort { return *e.entries.Load() }
 
 // fetchConfiguration asks other entries, in random order, for a configuration that
 // is newer than version.
 func (e *entryProcess) fetchConfiguration(ctx context.Context, version int64) (subscriber.Document, error) {
 	var peers []netip.AddrPort
-	for _, a := range append(e.knownEntries(), *e.seeds.Load()...) {
+	for _, a := range slices.Concat(e.knownEntries(), *e.seeds.Load()) {
 		if a.Addr() != e.settings.Address && !slices.Contains(peers, a) {
 			peers = append(peers, a)
 		}
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -22,8 +22,8 @@
 	// queueSize limits the events that wait for the core, and the start and
 	// stop orders that wait to be sent.
 	queueSize = 8192
-	// stepInterval is the maximum time between two steps while runs are held;
-	// idleStepInterval is the maximum otherwise.
+	// stepInterval is the maximum time between two steps while the core waits for
+	// answers of the minion; idleStepInterval is the maximum otherwise.
 	stepInterval     = 10 * time.Millisecond
 	idleStepInterval = 50 * time.Millisecond
 	// maxConcurrentStarts and maxConcurrentStops limit the orders in flight.
@@ -192,10 +192,10 @@
 		}
 		clear(events)
 		m.idle.Store(m.core.Idle())
-		if m.core.Idle() {
-			timer.Reset(idleStepInterval)
-		} else {
+		if m.core.HasTimers() {
 			timer.Reset(stepInterval)
+		} else {
+			timer.Reset(idleStepInterval)
 		}
 	}
 }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -31,6 +31,9 @@
 	// maxSpeedup is the factor by which a waiting task may turn out to be faster
 	// than expected.
 	maxSpeedup = 2
+	// maxStepInterval is the maximum interval between two steps while jobs are
+	// unanswered. The loss of an agent is noticed this late.
+	maxStepInterval = 50 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the Retry-After of a refusal.
 	minRetryAfter = time.Second
 	maxRetryAfter = 10 * time.Second
@@ -177,8 +180,22 @@
 	return c.commands
 }
 
-// UnansweredJobs returns the number of jobs that have not been answered.
-func (c *Core) UnansweredJobs() int { return len(c.jobs) }
+// NextStep returns the time by which the core must step again if no event
+// arrives: soon while tasks wait for a place, and otherwise by the next deadline.
+// Without unanswered jobs it returns false.
+func (c *Core) NextStep(now time.Time) (next time.Time, due bool) {
+	switch {
+	case len(c.jobs) == 0:
+		return time.Time{}, false
+	case len(c.waiting) > 0:
+		return now.Add(placementInterval), true
+	}
+	next = now.Add(maxStepInterval)
+	if c.deadlines.Len() > 0 && c.deadlines.Top().deadline.Before(next) {
+		next = c.deadlines.Top().deadline
+	}
+	return next, true
+}
 
 // UnstartedJobs counts, by route, the jobs of which no task can have started.
 func (c *Core) UnstartedJobs() map[string]int {
--- a/scheduler/overload_test.go
+++ b/scheduler/overload_test.go
@@ -128,3 +128,22 @@
 	}
 	is.Equal(placed, 80)
 }
+
+func TestNextStepIsByTheNextDeadline(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(1)
+	_, due := b.core.NextStep(b.now)
+	is.True(!due) // Nothing is unanswered.
+	b.step(b.submission("a", 1))
+	next, due := b.core.NextStep(b.now)
+	is.True(due)
+	is.Equal(next.Sub(b.now), 50*time.Millisecond)
+	b.advance(1480 * time.Millisecond)
+	next, _ = b.core.NextStep(b.now)
+	is.True(next.Sub(b.now) < 20*time.Millisecond) // Its deadline.
+	b = newTestbed(1)
+	b.fillFirstAgent()
+	b.step(b.submission("waits", 1))
+	next, _ = b.core.NextStep(b.now)
+	is.Equal(next.Sub(b.now), 10*time.Millisecond) // A backoff may end.
+}
--- a/supervisor/core.go
+++ b/supervisor/core.go
@@ -176,6 +176,17 @@
 	return c.commands
 }
 
+// HasTimers reports whether orders or renewals have to be repeated soon if no
+// answer comes.
+func (c *Core) HasTimers() bool {
+	if len(c.runs) > 0 && !c.minion.renewalInFlight || len(c.minion.orphans) > 0 {
+		return true
+	}
+	return slices.ContainsFunc(c.sortedRuns, func(r *run) bool {
+		return r.phase != running && (r.phase != queued || r.startRefusals > 0)
+	})
+}
+
 // Idle reports whether the agent holds no runs.
 func (c *Core) Idle() bool { return len(c.runs) == 0 }
 
--- a/supervisor/entry.go
+++ b/supervisor/entry.go
@@ -10,13 +10,13 @@
 
 const (
 	// minLoadInterval is the minimum interval between two load reports to one
-	// entry that are not sent together with another report. With many linked
-	// entries, the interval is their number times loadIntervalPerEntry.
-	// Simulated days give the same results without an interval and with twice
-	// these values (docs/decisions.md), and the CPU use of entries grows with
-	// the number of frames.
+	// entry that are not sent together with another report. The more entries share
+	// a minion, the less each of them needs to know about it: with several linked
+	// entries, the interval is the square of their number times
+	// loadIntervalPerEntry. The CPU use of entries grows with the number of frames
+	// (docs/decisions.md).
 	minLoadInterval      = 20 * time.Millisecond
-	loadIntervalPerEntry = 10 * time.Millisecond
+	loadIntervalPerEntry = 3500 * time.Microsecond
 	// retirementPeriod is the time from the notice to an entry that its link is
 	// to be closed until the link is closed. Orders that were sent before the
 	// notice was read arrive within it, and are refused.
@@ -125,7 +125,8 @@
 // entry receives from each agent, however many entries there are.
 func (c *Core) reportLoad(now time.Time) {
 	load := c.load()
-	interval := max(minLoadInterval, time.Duration(c.linkCount())*loadIntervalPerEntry)
+	links := time.Duration(c.linkCount())
+	interval := max(minLoadInterval, links*links*loadIntervalPerEntry)
 	for _, e := range c.sortedEntries {
 		hasReport := e.reportPending
 		e.reportPending = false
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -414,3 +414,15 @@
 	is.Equal(len(find[supervisor.StartRun](b.step(b.order("a", 1000)))), 1)
 	is.Equal(len(find[supervisor.CutLink](b.advance(3*time.Second))), 0)
 }
+
+// Steps every 10 ms without an event took most of the wake-ups of an agent.
+func TestAgentWithRunningRunsNeedsNoQuickSteps(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	b.step(b.order("a", 1000))
+	is.True(b.core.HasTimers()) // The start may go unanswered.
+	b.step(supervisor.StartAnswered{Run: run("a"), Incarnation: 1, Answer: supervisor.StartAccepted})
+	is.True(!b.core.HasTimers())
+	b.step(supervisor.FrameReceived{Entry: entry, Link: 1, Stops: []work.Run{run("a")}})
+	is.True(b.core.HasTimers()) // The stop may go unanswered.
+}
