soaker, follower: Mend two tests that failed now and then

The planted dead minions of the soak were hidden by 20 violations of another kind: the limit counts for each kind now.

An entry that knows some of the agents only no longer says that no minion of the service can hold a task, but none in its reach.

--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -29,6 +29,8 @@
 	down bool
 	// hung makes Head block until its context ends.
 	hung bool
+	// gate blocks the first read of the head until it is closed; nil for none.
+	gate chan struct{}
 	// invalid is the revision whose configuration doesn't compile, or 0.
 	invalid uint64
 	// polls counts the calls of Head.
@@ -38,6 +40,9 @@
 }
 
 func (s *fakeSource) Head(ctx context.Context) (historian.Head, error) {
+	if s.gate != nil {
+		<-s.gate
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.polls++
@@ -107,9 +112,15 @@
 }
 
 func TestFollowsHead(t *testing.T) {
-	runWithFollower(t, &fakeSource{head: 3}, func(is *is.I, s *fakeSource, f *follower.Follower) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &fakeSource{head: 3, gate: make(chan struct{})}
+		f := start(s)
+		defer f.Close()
+		synctest.Wait() // The first poll is under way.
 		is.True(!f.Ready())
 		is.Equal(f.Revision(), uint64(0))
+		close(s.gate)
 		synctest.Wait()
 		is.True(f.Ready())
 		is.Equal(f.Revision(), uint64(3))
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -59,7 +59,7 @@
 	case c.inAgentGrace(now):
 		return "", 0 // Agents are still connecting, so it isn't known what can be served.
 	case !f.fitting:
-		return "no minion of the service can hold its tasks", minRetryAfter
+		return "no minion in reach of this entry can hold its tasks", minRetryAfter
 	case !f.available:
 		return "no minion of the service is in reach", minRetryAfter
 	}
--- a/soaker/checker.go
+++ b/soaker/checker.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -12,7 +13,8 @@
 )
 
 const (
-	// maxViolations is the maximum number of violations that are reported.
+	// maxViolations is the maximum number of violations of each kind that are
+	// reported, so that many of one kind don't hide another.
 	maxViolations = 20
 	// cancelGrace is the time for which a job may still start or run after its
 	// cancellation.
@@ -39,7 +41,10 @@
 	startTime  time.Time
 	minions    []*imitator.Minion
 	violations []string
-	jobs       map[string]*jobRecord
+	// violationCounts counts the violations by kind, which is the part of their
+	// text before the first colon.
+	violationCounts map[string]int
+	jobs            map[string]*jobRecord
 	// running holds the running tasks.
 	running map[work.Task]placement
 	// drainDeadlines holds the time of each draining minion by name after which no
@@ -82,7 +87,7 @@
 // newChecker returns a checker without jobs.
 func newChecker() *checker {
 	return &checker{
-		startTime: time.Now(), jobs: make(map[string]*jobRecord), running: make(map[work.Task]placement),
+		startTime: time.Now(), violationCounts: make(map[string]int), jobs: make(map[string]*jobRecord), running: make(map[work.Task]placement),
 		drainDeadlines: make(map[string]time.Time), disturbedUntil: make(map[string]time.Time),
 	}
 }
@@ -96,8 +101,11 @@
 
 // addViolationLocked is addViolation with the lock held.
 func (c *checker) addViolationLocked(format string, args ...any) {
-	if len(c.violations) < maxViolations {
-		c.violations = append(c.violations, fmt.Sprintf("%6.3f s: %s", time.Since(c.startTime).Seconds(), fmt.Sprintf(format, args...)))
+	text := fmt.Sprintf(format, args...)
+	kind, _, _ := strings.Cut(text, ":")
+	c.violationCounts[kind]++
+	if c.violationCounts[kind] <= maxViolations {
+		c.violations = append(c.violations, fmt.Sprintf("%6.3f s: %s", time.Since(c.startTime).Seconds(), text))
 	}
 }
 
