scheduler: Bound the values of malformed messages

Change: loads, rooms, durations of reports and hints are bounded where they enter the core, with limits that no machine has.

--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -98,7 +98,7 @@
 	if ev.Link < a.link {
 		return
 	}
-	a.link, a.disconnectedAt, a.load = ev.Link, time.Time{}, ev.Load
+	a.link, a.disconnectedAt, a.load = ev.Link, time.Time{}, ev.Load.Bounded()
 	c.updateMinion(now, a, ev.Minion, ev.Usable, ev.Leaving)
 	held := make(map[work.Run]bool, len(ev.Reports))
 	for _, report := range ev.Reports {
@@ -145,7 +145,7 @@
 		c.handleReport(now, a, report)
 	}
 	if ev.Load != nil {
-		a.load = *ev.Load
+		a.load = ev.Load.Bounded()
 		a.markInLoadUpTo(ev.OrdersTaken)
 		c.placementDue = true
 	}
@@ -207,6 +207,7 @@
 	if m.Name != a.minion.Name || m.Incarnation != a.minion.Incarnation {
 		a.health = health{}
 	}
+	m.Room = m.Room.Bounded()
 	a.minion, a.usable, a.leaving = m, usable, leaving
 	c.placementDue = true
 	if !usable {
@@ -260,6 +261,7 @@
 
 // handleReport processes the report of an agent on a run.
 func (c *Core) handleReport(now time.Time, a *agent, report work.Report) {
+	report.Took, report.Remaining = work.BoundedDuration(report.Took), work.BoundedDuration(report.Remaining)
 	if report.Number > a.acked {
 		a.acked = report.Number
 	}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -116,6 +116,7 @@
 		j.tickets = append(j.tickets, ev.Ticket) // Idempotent: it runs once, all callers are answered.
 		return
 	}
+	ev.Job.Room, ev.Job.Hint = ev.Job.Room.Bounded(), work.BoundedDuration(ev.Job.Hint)
 	j := &job{Job: ev.Job, tickets: []uint64{ev.Ticket}, unfinishedTasks: ev.Job.Count}
 	j.expectedWork = c.estimator.estimate(ev.Job.Route, ev.Job.Hint)
 	j.setObjective(j.expectedWork)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -329,3 +329,28 @@
 	b.step(scheduler.Reported{Agent: agent(0), Link: 1, Load: &load, OrdersTaken: 10})
 	is.Equal(len(commandsOf[scheduler.Place](b.step(b.submission("fits", 1)))), 1)
 }
+
+// An agent that was silent for less than the time after which its runs can't be
+// running any more keeps them: nothing starts elsewhere, and its ends count.
+func TestRunsOfAnAgentThatWasSilentForAWhileGoOn(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(2)
+	submission := b.submission("a", 1)
+	submission.Job.Deadline = b.now.Add(5 * time.Second)
+	p := commandsOf[scheduler.Place](b.step(submission))[0]
+	out := b.step(scheduler.LinkClosed{Agent: p.Agent, Link: p.Link})
+	for range 15 { // 1.5 s
+		out = append(out, b.advance(99*time.Millisecond)...)
+	}
+	held := []work.Report{{Run: p.Order.Run, State: work.Started}}
+	for i := range 2 {
+		if agent(i) == p.Agent {
+			out = append(out, b.step(scheduler.LinkOpened{Agent: p.Agent, Link: 100, Reports: held, Minion: minion(i), Usable: true})...)
+		}
+	}
+	out = append(out, b.advance(time.Second)...)
+	is.Equal(len(commandsOf[scheduler.Place](out))+len(commandsOf[scheduler.Stop](out))+len(commandsOf[scheduler.Answer](out)), 0)
+	p.Link = 100
+	answers := commandsOf[scheduler.Answer](b.report(p, work.Report{State: work.Done, Number: 1}))
+	is.Equal(answers[0].Outcome, work.Succeeded)
+}
