--- a/commands/commands.go
+++ b/commands/commands.go
@@ -25,11 +25,25 @@
 
 Exit codes: 0 done; 1 failed; 2 bad input; 3 conflict with another operator; 4 not reachable or too late, and nothing was changed; 5 not known whether it was done, or done and not yet in force everywhere.`
 
-// root is the command line: the shared flags and the commands.
-type root struct {
+// sharedFlags are the flags of all commands.
+type sharedFlags struct {
 	Store   netip.AddrPort `help:"Address of the platform's table service (IP number and port)." placeholder:"IP:PORT" env:"AGATEVALVE_STORE"`
 	Format  string         `help:"Form of the output: table for people, json for programs." enum:"table,json" default:"table"`
 	Timeout time.Duration  `help:"How long to try, with its unit, such as 500ms or 1m." default:"20s"`
+}
+
+// serveRoot is the command line of an entry alone. kong takes some 10 ms of
+// processor time to build its model of all commands, for which callers of an
+// entry that restarts on a small VM would wait a tenth of a second.
+type serveRoot struct {
+	sharedFlags
+
+	Serve ServeCommand `cmd:"" help:"Run an entry: the process that takes requests and jobs from callers."`
+}
+
+// root is the command line: the shared flags and the commands.
+type root struct {
+	sharedFlags
 
 	Serve    ServeCommand    `cmd:"" help:"Run an entry: the process that takes requests and jobs from callers."`
 	Demo     DemoCommand     `cmd:"" help:"Run a whole small system in one process, to try it."`
@@ -57,9 +71,19 @@
 // returns the exit code.
 func Execute(args []string, stdout, stderr io.Writer) int {
 	slog.SetDefault(slog.New(slog.NewTextHandler(stderr, nil)))
-	exitCode := -1 // Set by kong once it has printed help.
+	if len(args) > 0 && args[0] == "serve" {
+		var r serveRoot
+		return execute(&r, &r.sharedFlags, args, stdout, stderr)
+	}
 	var r root
-	app, err := kong.New(&r,
+	return execute(&r, &r.sharedFlags, args, stdout, stderr)
+}
+
+// execute parses and runs a command line that is declared by grammar, of which
+// shared is a part.
+func execute(grammar any, shared *sharedFlags, args []string, stdout, stderr io.Writer) int {
+	exitCode := -1 // Set by kong once it has printed help.
+	app, err := kong.New(grammar,
 		kong.Name("agatevalve"),
 		kong.Description(description),
 		kong.Writers(stdout, stderr),
@@ -73,12 +97,12 @@
 	if exitCode >= 0 {
 		return exitCode
 	}
-	c := newConsole(r, stdout, stderr)
+	c := newConsole(*shared, stdout, stderr)
 	if err != nil {
 		return c.printError(errUsage(err))
 	}
-	if r.Timeout <= 0 {
-		return c.printError(fault.New(fault.Invalid, "use a duration above 0s", "--timeout %s is out of range", r.Timeout))
+	if shared.Timeout <= 0 {
+		return c.printError(fault.New(fault.Invalid, "use a duration above 0s", "--timeout %s is out of range", shared.Timeout))
 	}
 	if err := command.Run(c); err != nil {
 		return c.printError(err)
--- a/commands/console.go
+++ b/commands/console.go
@@ -29,23 +29,23 @@
 
 // console gives commands the shared flags, the output streams and the store.
 type console struct {
-	root   root
+	flags  sharedFlags
 	stdout io.Writer
 	stderr io.Writer
 }
 
-func newConsole(r root, stdout, stderr io.Writer) *console {
-	return &console{root: r, stdout: stdout, stderr: stderr}
+func newConsole(flags sharedFlags, stdout, stderr io.Writer) *console {
+	return &console{flags: flags, stdout: stdout, stderr: stderr}
 }
 
 // wantsJSON reports whether --format asks for JSON.
-func (c *console) wantsJSON() bool { return c.root.Format == "json" }
+func (c *console) wantsJSON() bool { return c.flags.Format == "json" }
 
 // newContext returns a context that ends after --timeout, or on SIGINT or
 // SIGTERM.
 func (c *console) newContext() (context.Context, context.CancelFunc) {
 	interrupted, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	ctx, cancel := context.WithTimeout(interrupted, c.root.Timeout)
+	ctx, cancel := context.WithTimeout(interrupted, c.flags.Timeout)
 	return ctx, func() {
 		cancel()
 		stop()
@@ -62,10 +62,10 @@
 
 // openStore creates a client of the table service. The caller closes it.
 func (c *console) openStore() (*store, error) {
-	if !c.root.Store.IsValid() {
+	if !c.flags.Store.IsValid() {
 		return nil, fault.New(fault.Invalid, "give --store IP:PORT or set AGATEVALVE_STORE", "no store is named")
 	}
-	client := connector.New(connector.Options{Store: c.root.Store})
+	client := connector.New(connector.Options{Store: c.flags.Store})
 	return &store{
 		Client:    client,
 		historian: historian.New(client),
--- a/commands/status.go
+++ b/commands/status.go
@@ -75,7 +75,7 @@
 		if err != nil {
 			return err
 		}
-		status := encodeStatus(c.root.Store.String(), head, views)
+		status := encodeStatus(c.flags.Store.String(), head, views)
 		if headErr != nil {
 			status.Store.Error = messageWithoutRemedy(headErr)
 		}
--- a/commands/submit.go
+++ b/commands/submit.go
@@ -84,7 +84,7 @@
 		return c.newContext()
 	}
 	withDeadline := *c
-	withDeadline.root.Timeout = time.Until(s.Deadline) + submitGracePeriod
+	withDeadline.flags.Timeout = time.Until(s.Deadline) + submitGracePeriod
 	return withDeadline.newContext()
 }
 
