coupler: Give up an attempt to connect after 150 ms

Cause: after a loss of power agents start before entries, and the first packet of an attempt that began meanwhile is lost. TCP sends it again after a second, the attempt was given up after 400 ms; agents found entries 100 to 300 ms after these had started.

Change: 150 ms, which is fifty round trips between zones.

--- a/coupler/client.go
+++ b/coupler/client.go
@@ -26,8 +26,11 @@
 )
 
 const (
-	// connectTimeout is the timeout for connecting to an entry.
-	connectTimeout = 400 * time.Millisecond
+	// connectTimeout is the timeout for connecting to an entry. It is many round
+	// trips long, but short enough that an attempt that began before an entry had
+	// power doesn't delay the next one, since TCP repeats its first packet only
+	// after a second.
+	connectTimeout = 150 * time.Millisecond
 	// initialBackoff is the first pause, before jitter, between two attempts to
 	// connect to an entry. It doubles after each attempt. During the first
 	// earlyPeriod without a link it is capped at earlyMaxBackoff, so that an entry
