--- a/coupler/coupler_test.go
+++ b/coupler/coupler_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"agatevalve/common/work"
 	"agatevalve/coupler"
 	"agatevalve/scheduler"
+	"agatevalve/selector"
 	"agatevalve/subscriber"
 	"agatevalve/supervisor"
 )
@@ -61,10 +63,28 @@
 }
 
 func newLinkPair(t *testing.T) *linkPair {
+	p := newServer(t, "entry-1")
+	p.client = p.newClient(t, 0)
+	p.client.SetEntries([]netip.AddrPort{p.address})
+	return p
+}
+
+// newClient returns a client of an agent whose events p records.
+func (p *linkPair) newClient(t *testing.T, maxEntries int) *coupler.Client {
+	client := coupler.NewClient(coupler.ClientOptions{
+		Self: task.Process{Name: "agent-1", Incarnation: 9}, Enqueue: p.agentEvents.record, MaxEntries: maxEntries,
+		EntriesReceived: func(netip.AddrPort, []netip.AddrPort) {}, Log: slog.New(slog.DiscardHandler),
+	})
+	t.Cleanup(client.Close)
+	return client
+}
+
+// newServer returns a linkPair without a client.
+func newServer(t *testing.T, name string) *linkPair {
 	p := &linkPair{entryEvents: &eventLog[scheduler.Event]{}, agentEvents: &eventLog[supervisor.Event]{}}
 	discard := slog.New(slog.DiscardHandler)
 	p.server = coupler.NewServer(coupler.ServerOptions{
-		Self: task.Process{Name: "entry-1", Incarnation: 7}, Enqueue: p.entryEvents.record, Log: discard,
+		Self: task.Process{Name: name, Incarnation: 7}, Enqueue: p.entryEvents.record, Log: discard,
 		Entries:         func() []netip.AddrPort { return []netip.AddrPort{p.address} },
 		HasJob:          func(id string) bool { return id == "running" },
 		CancelJob:       func(id string) bool { return id == "running" },
@@ -75,13 +95,8 @@
 	p.httpServer.Config.Protocols.SetUnencryptedHTTP2(true)
 	p.httpServer.Start()
 	p.address = netip.MustParseAddrPort(p.httpServer.Listener.Addr().String())
-	p.client = coupler.NewClient(coupler.ClientOptions{
-		Self: task.Process{Name: "agent-1", Incarnation: 9}, Enqueue: p.agentEvents.record, EntriesReceived: func(netip.AddrPort, []netip.AddrPort) {}, Log: discard,
-	})
-	p.client.SetEntries([]netip.AddrPort{p.address})
 	t.Cleanup(p.httpServer.Close)
 	t.Cleanup(p.httpServer.CloseClientConnections)
-	t.Cleanup(p.client.Close)
 	return p
 }
 
@@ -134,6 +149,47 @@
 	is.Equal(p.openLink(t, first.Link).Entry, first.Entry)
 }
 
+// A link that another entry makes needless is retired, and not opened again once
+// the core has cut it.
+func TestLinkThatIsNotNeededIsRetired(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	p, other := newServer(t, "entry-1"), newServer(t, "entry-2")
+	client := p.newClient(t, 1)
+	both := []netip.AddrPort{p.address, other.address}
+	preferred := selector.New(selector.Options{Agent: "agent-1", Degree: 1}).Choose(time.Now(), []selector.Candidate{{Address: both[0]}, {Address: both[1]}}).Wanted[0]
+	replaced := both[0]
+	if preferred == replaced {
+		replaced = both[1]
+	}
+	client.SetEntries([]netip.AddrPort{replaced})
+	first := waitFor(t, p.agentEvents, func(supervisor.LinkOpened) bool { return true })
+	client.Send(first.Entry, supervisor.ReportSnapshot{Entry: first.Entry, Link: first.Link})
+	client.SetEntries(both)
+	second := waitFor(t, p.agentEvents, func(ev supervisor.LinkOpened) bool { return ev.Link > first.Link })
+	client.Send(second.Entry, supervisor.ReportSnapshot{Entry: second.Entry, Link: second.Link})
+	done := time.After(15 * time.Second)
+	for retired := false; !retired; {
+		select {
+		case <-done:
+			t.Fatal("the link was not retired")
+		case <-time.After(50 * time.Millisecond):
+		}
+		client.SetEntries(both)
+		p.agentEvents.mu.Lock()
+		retired = slices.Contains(p.agentEvents.events, supervisor.Event(supervisor.LinkRetiring{Entry: first.Entry, Link: first.Link, Retiring: true}))
+		p.agentEvents.mu.Unlock()
+	}
+	client.Cut(first.Link)
+	waitFor(t, p.agentEvents, func(ev supervisor.LinkClosed) bool { return ev.Link == first.Link })
+	for range 10 {
+		client.SetEntries(both)
+		time.Sleep(50 * time.Millisecond)
+	}
+	is.Equal(client.OpenLinks(), 1)
+	is.True(client.IsLinked(preferred))
+}
+
 func TestEntryRefusingConnectionsIsReportedGone(t *testing.T) {
 	p := newLinkPair(t)
 	p.openLink(t, 0)
--- a/supervisor/events.go
+++ b/supervisor/events.go
@@ -172,9 +172,12 @@
 		return
 	}
 	e.retiringSince = time.Time{}
+	text := "Keeps a link that was to be closed"
 	if ev.Retiring {
 		e.retiringSince = now
+		text = "Will close a link that is not needed"
 	}
+	c.emit(LogMessage{Text: text, Entry: e.name, Count: e.runCount})
 	c.reportMinionTo(e)
 }
 
