scheduler: Run late tasks that take a whole minion on an idle one

Found by reading: a task of more than nine tenths of each minion never ran once it was late, even on an idle one. The test fails without the change.

--- a/scheduler/overload_test.go
+++ b/scheduler/overload_test.go
@@ -59,6 +59,20 @@
 	is.Equal(placedJobs(b.step(b.submission("new", 1))), []string{"new"})
 }
 
+// Guards against late tasks that are larger than the room that late work may fill,
+// and would never run.
+func TestLateTaskThatTakesAWholeMinionRunsOnAnIdleOne(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(1)
+	b.fillFirstAgent()
+	large := b.submission("large", 1)
+	large.Job.Room.CPU = 9_500
+	b.step(large)
+	b.advance(300 * time.Millisecond)
+	is.Equal(len(placedJobs(b.freeRoom(9, 10))), 0)
+	is.Equal(placedJobs(b.freeRoom(10, 10)), []string{"large"})
+}
+
 // Late work is done wherever nothing else needs the room.
 func TestLateWorkOfAStartedJobTakesAllRoom(t *testing.T) {
 	is := is.New(t)
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -274,12 +274,14 @@
 }
 
 // reservedFrom reports whether the free room of the minion is kept for other
-// tasks, since this one is late and its job has not started.
+// tasks, since this one is late and its job has not started. An idle minion runs
+// any task.
 func (a *agent) reservedFrom(now time.Time, t *task) bool {
 	if t.job.mayHaveStarted || !now.After(t.latestStart()) {
 		return false
 	}
-	return a.committed().Plus(t.job.Room).CPU > int64(lateShare*float64(a.minion.Room.CPU))
+	committed := a.committed().CPU
+	return committed > 0 && committed+t.job.Room.CPU > int64(lateShare*float64(a.minion.Room.CPU))
 }
 
 // expectedWait returns the expected time until a task of this size has room.
