supervisor: Report how long a lost run had been running

When a minion goes down its agent reported the runs there as lost, without a duration: which of ten runs was the cause could not be told from the logs. Lost runs now have the time since their start order, and one line gives the loss as a whole, with the incarnation of the minion.

--- a/common/work/work.go
+++ b/common/work/work.go
@@ -145,8 +145,9 @@
 type Report struct {
 	Run   Run
 	State State
-	// Took is the duration of a run that ended Done or Failed, and the
-	// projected duration of one that is Started; 0 if unknown.
+	// Took is the duration of a run that ended Done or Failed, the time since the
+	// start order of one that was Lost, and the projected duration of one that is
+	// Started; 0 if unknown.
 	Took time.Duration
 	// Remaining is the projected remaining duration of a run that is Started.
 	Remaining time.Duration
--- a/supervisor/core.go
+++ b/supervisor/core.go
@@ -312,12 +312,17 @@
 // loseRuns ends all runs that may have been running, since the minion can't be
 // running them any more.
 func (c *Core) loseRuns(now time.Time, reason string) {
+	lost := 0
 	for _, r := range c.copyRuns() {
 		if r.phase != queued {
-			c.endRun(now, r, work.Report{State: work.Lost, Reason: work.Reason(reason)})
+			c.endRun(now, r, work.Report{State: work.Lost, Reason: work.Reason(reason), Took: now.Sub(r.startSentAt)})
+			lost++
 		}
 	}
 	c.minion.orphans = nil
+	if lost > 0 {
+		c.emit(LogMessage{Text: "Lost the runs at the minion", Reason: reason, Count: lost, Minion: c.minion.Minion})
+	}
 }
 
 // stopEntryRuns stops all runs of an entry.
