rehearser: Play tasks that crash their minions

The verifier checks that no task is started three times more after it crashed three minions, and counts crashes by job.

--- a/emulator/leased.go
+++ b/emulator/leased.go
@@ -17,6 +17,9 @@
 	Work time.Duration
 	// Fails is true for a task that never succeeds.
 	Fails bool
+	// CrashesAfter is the time from the start of the task until it crashes the
+	// minion; 0 for never.
+	CrashesAfter time.Duration
 }
 
 // LeasedOptions configure a LeasedMinion.
@@ -40,6 +43,9 @@
 	// OnEndAcknowledged is called for each end that the agent has acknowledged.
 	// It may be nil.
 	OnEndAcknowledged func(run work.Run, state work.State)
+	// OnCrash is called after a run has crashed the minion, which then has no runs.
+	// It may be nil if no task does.
+	OnCrash func(run work.Run, at time.Time)
 }
 
 // LeasedMinion simulates a minion that runs leased tasks. Each method gets the
@@ -178,6 +184,9 @@
 		if m.slowdown > 0 {
 			next = min(next, m.remaining(r))
 		}
+		if r.profile.CrashesAfter > 0 {
+			next = min(next, r.startedAt.Add(r.profile.CrashesAfter).Sub(m.current))
+		}
 	}
 	if len(m.runs) > 0 && !m.o.IgnoreLeaseExpiry && m.leaseExpiry.After(m.current) {
 		next = min(next, m.leaseExpiry.Sub(m.current))
@@ -209,6 +218,11 @@
 	m.current = next
 	for _, run := range m.sortedRuns() {
 		r := m.runs[run]
+		if r.profile.CrashesAfter > 0 && next.Sub(r.startedAt) >= r.profile.CrashesAfter {
+			m.Crash(next)
+			m.o.OnCrash(run, next)
+			return
+		}
 		if m.slowdown > 0 {
 			r.progress += float64(elapsed) / (float64(r.profile.Work) * m.o.DurationFactor * m.slowdown)
 		}
--- a/rehearser/agent.go
+++ b/rehearser/agent.go
@@ -52,9 +52,27 @@
 			a.onRunChange()
 		},
 		OnEndAcknowledged: a.world.verifier.endAcknowledged,
+		OnCrash: func(run work.Run, at time.Time) {
+			a.world.verifier.minionCrashed(run, at)
+			a.crash(crashDowntime)
+			a.refusesUntil = a.crashedUntil
+		},
 	}, a.world.now)
 }
 
+// crash ends the minion and all its runs, and starts it again after a time.
+func (a *agentNode) crash(downtime time.Duration) {
+	a.minion.Crash(a.world.now)
+	if restart := a.world.now.Add(downtime); restart.After(a.crashedUntil) {
+		a.crashedUntil = restart
+	}
+	a.world.after(downtime, func() {
+		if !a.world.now.Before(a.crashedUntil) { // A later crash may last longer.
+			a.startMinion()
+		}
+	})
+}
+
 // labels returns the labels of the agent's minion.
 func (a *agentNode) labels() []string {
 	if len(a.world.day.Labels) == 0 {
@@ -184,7 +202,8 @@
 // its answer may both be lost, or only the answer, and then the order is executed
 // late. perform executes the order and returns the answer, or nil if the answer
 // follows later; timeoutEvent is delivered if there is no answer.
-func (a *agentNode) sendOrder(timeout time.Duration, perform func(m *emulator.LeasedMinion) supervisor.Event, timeoutEvent supervisor.Event) {
+// refusal is delivered if nothing listens at the minion's address.
+func (a *agentNode) sendOrder(timeout time.Duration, perform func(m *emulator.LeasedMinion) supervisor.Event, timeoutEvent, refusal supervisor.Event) {
 	incarnation, minion := a.incarnation, a.minion
 	answer := func(ev supervisor.Event) {
 		if a.incarnation == incarnation {
@@ -201,6 +220,10 @@
 		a.world.after(timeout, func() { answer(timeoutEvent) })
 		return
 	}
+	if a.world.now.Before(a.refusesUntil) {
+		a.world.after(orderDelay, func() { answer(refusal) })
+		return
+	}
 	if a.world.now.Before(a.unreachableUntil) || a.world.now.Before(a.crashedUntil) {
 		a.world.after(timeout, func() { answer(timeoutEvent) })
 		return
@@ -223,14 +246,15 @@
 			answer = m.Start(a.world.now, c)
 		}
 		return supervisor.StartAnswered{Run: c.Run, Incarnation: c.Incarnation, Answer: answer, Clock: m.Clock(a.world.now)}
-	}, supervisor.StartAnswered{Run: c.Run, Incarnation: c.Incarnation, Answer: supervisor.StartUnanswered})
+	}, supervisor.StartAnswered{Run: c.Run, Incarnation: c.Incarnation, Answer: supervisor.StartUnanswered},
+		supervisor.StartAnswered{Run: c.Run, Incarnation: c.Incarnation, Answer: supervisor.StartUnreachable})
 }
 
 func (a *agentNode) stopRun(c supervisor.StopRun) {
 	a.sendOrder(orderTimeout, func(m *emulator.LeasedMinion) supervisor.Event {
 		m.Stop(a.world.now, c.Run)
 		return supervisor.StopAnswered{Run: c.Run, Answered: true, Clock: m.Clock(a.world.now)}
-	}, supervisor.StopAnswered{Run: c.Run})
+	}, supervisor.StopAnswered{Run: c.Run}, supervisor.StopAnswered{Run: c.Run})
 }
 
 // renewLease renews the minion's lease and requests a list of its runs. The
@@ -256,6 +280,9 @@
 			}
 			released = true
 			ev := listRuns(m)
+			if a.world.now.Before(a.refusesUntil) {
+				ev = supervisor.RenewalFailed{ListOnly: c.ListOnly}
+			}
 			a.world.after(orderDelay, func() {
 				if a.incarnation == incarnation {
 					a.deliver(ev)
@@ -265,7 +292,7 @@
 		a.releaseRenewal = release
 		a.world.after(c.Wait, release)
 		return nil
-	}, supervisor.RenewalFailed{ListOnly: c.ListOnly})
+	}, supervisor.RenewalFailed{ListOnly: c.ListOnly}, supervisor.MinionDown{ListOnly: c.ListOnly})
 }
 
 // scheduleNextEnd schedules the next end of a run at the minion. Only the
--- a/rehearser/callers.go
+++ b/rehearser/callers.go
@@ -53,6 +53,8 @@
 	refusals, submissions int
 	leftEarly             bool
 	alwaysFails           bool
+	// deadly is true if a task of the job crashes minions.
+	deadly bool
 }
 
 // startArrivals starts the arrivals of jobs, which last for the length of the
@@ -87,9 +89,13 @@
 	c.hint = time.Duration(mean * math.Exp(w.callerRandom.NormFloat64()*jobSigma))
 	count := max(1, int(float64(route.Tasks)*math.Exp(w.callerRandom.NormFloat64()*jobSigma-jobSigma*jobSigma/2)+0.5))
 	c.alwaysFails = w.callerRandom.Float64() < w.day.FailingJobShare
+	c.deadly = w.drawDeadly(route)
 	longest := time.Duration(0)
-	for range count {
+	for i := range count {
 		profile := emulator.TaskProfile{Room: work.Room{CPU: route.CPU, Memory: 64}, Work: time.Duration(mean * math.Exp(w.callerRandom.NormFloat64()*taskSigma)), Fails: c.alwaysFails}
+		if c.deadly && (i == 0 || w.day.DeadlyWork.Wide) {
+			profile.CrashesAfter = crashDelay
+		}
 		longest = max(longest, profile.Work)
 		c.profiles = append(c.profiles, profile)
 	}
@@ -106,6 +112,12 @@
 	}
 }
 
+// drawDeadly draws whether a new job of a route is deadly.
+func (w *world) drawDeadly(route Route) bool {
+	d, elapsed := w.day.DeadlyWork, w.now.Sub(w.start)
+	return d.Share > 0 && d.Route == route.Name && elapsed >= d.At && elapsed < d.At+d.For && w.callerRandom.Float64() < d.Share
+}
+
 // send submits the job to a random entry that is up, or retries later if there
 // is none.
 func (c *caller) send() {
--- /dev/null
+++ b/rehearser/deadly_test.go
@@ -0,0 +1,33 @@
+package rehearser_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"agatevalve/rehearser"
+)
+
+// deadlyDay returns a day of the desk on which a share of the jobs of a route is
+// deadly from 2 to 7 s.
+func deadlyDay(seed uint64, route string, share float64) rehearser.Day {
+	day := deskDay(seed)
+	day.DeadlyWork = rehearser.DeadlyWork{Route: route, Share: share, At: 2 * time.Second, For: 5 * time.Second}
+	return day
+}
+
+// Guards against a task that crashes minion after minion, since each loss of a
+// run is followed by the next start.
+func TestTaskDoesNotCrashMinionAfterMinion(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(3) {
+		day := deadlyDay(seed, "hold", 0.1)
+		day.Faults = []rehearser.Fault{{Kind: rehearser.KillEntry, At: 5 * time.Second}}
+		result := rehearser.Play(day)
+		t.Logf("%+v", result)
+		is.Equal(strings.Join(result.Violations, "\n"), "")
+		is.True(result.JobCrashes <= 2)
+	}
+}
--- a/rehearser/faults.go
+++ b/rehearser/faults.go
@@ -29,15 +29,7 @@
 func (w *world) injectMinionFault(f Fault, a *agentNode) {
 	switch f.Kind {
 	case CrashMinion:
-		a.minion.Crash(w.now)
-		if restart := w.now.Add(f.For); restart.After(a.crashedUntil) {
-			a.crashedUntil = restart
-		}
-		w.after(f.For, func() {
-			if !w.now.Before(a.crashedUntil) { // A later crash may last longer.
-				a.startMinion()
-			}
-		})
+		a.crash(f.For)
 	case SlowMinion:
 		w.slowDown(a, 5, f.For)
 	case StallMinion:
--- a/rehearser/rehearser.go
+++ b/rehearser/rehearser.go
@@ -39,6 +39,10 @@
 	restartDelay = 800 * time.Millisecond
 	// resubmitDelay is the delay before a caller submits a job again.
 	resubmitDelay = 1300 * time.Millisecond
+	// crashDelay is the time from the start of a deadly task until its minion
+	// crashes, and crashDowntime the time until the minion is back.
+	crashDelay    = 15 * time.Millisecond
+	crashDowntime = 3200 * time.Millisecond
 )
 
 // Route is a route with the load on it.
@@ -70,6 +74,18 @@
 	Factor float64
 }
 
+// DeadlyWork is a period in which some jobs of a route have a task that crashes
+// each minion that starts it.
+type DeadlyWork struct {
+	Route string
+	// Share is the fraction of the route's jobs; 0 for none.
+	Share float64
+	// At is counted from the start of the day, and For is the duration.
+	At, For time.Duration
+	// Wide makes all tasks of these jobs deadly, in place of the first.
+	Wide bool
+}
+
 // Day configures a simulation.
 type Day struct {
 	Seed    uint64
@@ -86,6 +102,8 @@
 	Routes []Route
 	// FailingJobShare is the fraction of jobs whose tasks always fail.
 	FailingJobShare float64
+	// DeadlyWork is the work that crashes the minions that start it.
+	DeadlyWork DeadlyWork
 	// LostAnswerShare is the fraction of orders to minions that are executed
 	// late and whose answer is lost.
 	LostAnswerShare float64
@@ -152,6 +170,10 @@
 	// Starts is the number of runs, and Wasted the number of those that did not
 	// end Done.
 	Starts, Wasted int
+	// Crashes is the number of minions that were crashed by a task, JobCrashes the
+	// largest number of those by one job, and MostDown the largest number of minions
+	// that were down at the same time because of it.
+	Crashes, JobCrashes, MostDown int
 	// Steps is the number of steps of all cores that had an event or a command.
 	Steps int
 	// Frames is the number of frames between entries and agents, without pings.
@@ -275,6 +297,9 @@
 	unreachableUntil time.Time
 	// crashedUntil is the time of the minion's restart after a crash.
 	crashedUntil time.Time
+	// refusesUntil is the end of a period in which the VM of a crashed minion
+	// refuses connections. After other crashes orders get no answer.
+	refusesUntil time.Time
 	// releaseRenewal sends the response to a renewal that the minion delays;
 	// nil for none.
 	releaseRenewal func()
--- a/rehearser/verifier.go
+++ b/rehearser/verifier.go
@@ -19,6 +19,9 @@
 	stopGrace = 3 * time.Second
 	// maxViolations limits the violations that are recorded.
 	maxViolations = 20
+	// maxCrashes is the number of minions that a task may crash, after which it
+	// must not be started maxCrashes times more.
+	maxCrashes = 3
 )
 
 // verifier checks the guarantees of the system from what callers and minions
@@ -44,7 +47,13 @@
 	drainDeadlines map[string]time.Time
 	// callerLeftAt maps each job whose caller has left to the time of that.
 	callerLeftAt map[string]time.Time
-	result       Result
+	// crashes counts the minions that each task has crashed, startsAfterCrashes its
+	// starts after maxCrashes of them, and jobCrashes the crashes of each job.
+	crashes, startsAfterCrashes map[work.Task]int
+	jobCrashes                  map[string]int
+	// downUntil holds the ends of the crashes by tasks.
+	downUntil []time.Time
+	result    Result
 	// earnedWorth and offeredWorth are the sums of the worth of answers and of
 	// jobs, by route.
 	earnedWorth  map[string]float64
@@ -67,6 +76,7 @@
 func newVerifier(w *world) *verifier {
 	return &verifier{
 		world: w, failures: make(map[work.Task]int), startedBy: make(map[work.Run]agentProcess), running: make(map[work.Task]placement), startedJobs: make(map[string]bool), drainDeadlines: make(map[string]time.Time),
+		crashes: make(map[work.Task]int), startsAfterCrashes: make(map[work.Task]int), jobCrashes: make(map[string]int),
 		callerLeftAt: make(map[string]time.Time), earnedWorth: make(map[string]float64), offeredWorth: make(map[string]float64),
 	}
 }
@@ -98,6 +108,7 @@
 		v.violation("twice: %s started at %s while %s has been running at %s for %s", run, minion, other.run, other.minion, at.Sub(other.startedAt))
 	}
 	v.checkPlacement(c, minion, run)
+	v.checkCrashes(run)
 	if deadline, draining := v.drainDeadlines[minion]; draining && at.After(deadline) {
 		v.violation("drain: %s started at %s", run, minion)
 	}
@@ -141,6 +152,28 @@
 	}
 }
 
+// checkCrashes checks that a task that crashes minions is not started again and
+// again.
+func (v *verifier) checkCrashes(run work.Run) {
+	if v.crashes[run.Task] < maxCrashes {
+		return
+	}
+	if v.startsAfterCrashes[run.Task]++; v.startsAfterCrashes[run.Task] == maxCrashes {
+		v.violation("budget: %s is start %d after it crashed %d minions", run, maxCrashes, v.crashes[run.Task])
+	}
+}
+
+// minionCrashed counts a crash by a run.
+func (v *verifier) minionCrashed(run work.Run, at time.Time) {
+	v.result.Crashes++
+	v.crashes[run.Task]++
+	v.jobCrashes[run.Job]++
+	v.result.JobCrashes = max(v.result.JobCrashes, v.jobCrashes[run.Job])
+	v.downUntil = slices.DeleteFunc(v.downUntil, func(until time.Time) bool { return !at.Before(until) })
+	v.downUntil = append(v.downUntil, at.Add(crashDowntime))
+	v.result.MostDown = max(v.result.MostDown, len(v.downUntil))
+}
+
 // countStep counts a step of a core unless nothing happened in it.
 func (v *verifier) countStep(events, commands int) {
 	if events+commands > 0 {
@@ -164,7 +197,9 @@
 
 func (v *verifier) jobSubmitted(c *caller) {
 	v.result.Jobs++
-	v.offeredWorth[c.route.Name] += c.route.Worth
+	if !c.deadly {
+		v.offeredWorth[c.route.Name] += c.route.Worth
+	}
 }
 
 // endAcknowledged counts a failure when the agent acknowledges the end of a
@@ -189,13 +224,21 @@
 func (v *verifier) callerLeft(c *caller) {
 	v.result.CallersLeft++
 	v.callerLeftAt[c.id] = v.world.now
-	v.offeredWorth[c.route.Name] -= c.route.Worth
+	if !c.deadly {
+		v.offeredWorth[c.route.Name] -= c.route.Worth
+	}
 }
 
 // answerReceived checks and counts the answer of an entry.
 func (v *verifier) answerReceived(c *caller, outcome work.Outcome) {
 	now := v.world.now
 	onTime := !now.After(c.objective) && !now.After(c.deadline)
+	if c.deadly {
+		if outcome == work.Succeeded {
+			v.violation("false answer: %s succeeded though one of its tasks can't be done", c.id)
+		}
+		return // Such a job is worth nothing, whatever its answer.
+	}
 	switch outcome {
 	case work.Succeeded, work.Exhausted:
 		if outcome == work.Exhausted && !c.alwaysFails {
