attributor, scheduler: Give up tasks that crash their minions

Cause: a run that is lost with its minion was retried like one that is lost with a link. Nothing counted what a start had destroyed, an entry that took the job over knew nothing, and a timeout brought the caller back. Change: agents tell apart a crash (nothing listens any more, or another incarnation answers, without a drain) from silence and planned ends, and report it to all linked entries with the runs at risk and their ages, to new entries for a minute. Package attributor finds the cause: the task that is lost twice at about the same age; it explains its crashes, which clears the tasks beside it. Three crashes end a task in any case. Suspects start one at a time at each minion and of each job, so that a crash has one likely cause. A job with such a task is answered as failed at once, also when it is sent again.

--- /dev/null
+++ b/common/work/crash.go
@@ -0,0 +1,20 @@
+package work
+
+import "time"
+
+// Crash is the unplanned end of a minion, together with all runs there.
+type Crash struct {
+	Minion      string
+	Incarnation uint64
+	At          time.Time
+	// Runs are the runs that may have been running, of all entries.
+	Runs []CrashedRun
+}
+
+// CrashedRun is a run at a minion that crashed.
+type CrashedRun struct {
+	Run   Run
+	Route string
+	// Age is the time from the start order to the crash.
+	Age time.Duration
+}
--- a/common/work/work.go
+++ b/common/work/work.go
@@ -67,6 +67,12 @@
 	MaxPerMinion int
 	// Priority is the priority of the route; lower values go first.
 	Priority int
+	// Route is the name of the route that admitted the job.
+	Route string
+	// Probation is the time after its start in which the run may crash the minion;
+	// 0 for a run that is not suspected. A minion has one run on probation at a
+	// time.
+	Probation time.Duration
 	// StartBefore is the latest start that still meets the latency objective.
 	StartBefore time.Time
 	// EndBefore is the caller's deadline. Runs that can't end by then are not
@@ -137,6 +143,8 @@
 	ReasonCrowded Reason = "crowded"
 	// ReasonUnstarted means that a stopped run had not been started.
 	ReasonUnstarted Reason = "unstarted"
+	// ReasonCrashed means that the run was lost because its minion crashed.
+	ReasonCrashed Reason = "crashed"
 	// ReasonMalformed means that the minion could not decode the start order.
 	ReasonMalformed Reason = "malformed"
 )
--- a/coupler/codec.go
+++ b/coupler/codec.go
@@ -47,7 +47,7 @@
 		frame.Starts = append(frame.Starts, &v1.RunStart{
 			Run: runToWire(o.Run), Room: roomToWire(o.Room), Label: o.Label, Spec: specIndex, MostBeside: uint32(o.MaxPerMinion),
 			StartBefore: durationpb.New(o.StartBefore.Sub(now)), EndBefore: durationpb.New(o.EndBefore.Sub(now)),
-			Work: durationpb.New(o.Work), Priority: int32(o.Priority),
+			Work: durationpb.New(o.Work), Priority: int32(o.Priority), Route: o.Route, Probation: probationToWire(o.Probation),
 		})
 	}
 }
@@ -65,10 +65,40 @@
 		Run: run, Room: roomFromWire(s.GetRoom()), Label: s.GetLabel(), Spec: frame.GetSpecs()[s.GetSpec()],
 		MaxPerMinion: int(s.GetMostBeside()), Priority: int(s.GetPriority()),
 		StartBefore: now.Add(s.GetStartBefore().AsDuration()), EndBefore: now.Add(s.GetEndBefore().AsDuration()),
-		Work: s.GetWork().AsDuration(),
+		Work: s.GetWork().AsDuration(), Route: s.GetRoute(), Probation: s.GetProbation().AsDuration(),
 	}, nil
 }
 
+// probationToWire leaves out the probation of runs that are not suspected.
+func probationToWire(probation time.Duration) *durationpb.Duration {
+	if probation == 0 {
+		return nil
+	}
+	return durationpb.New(probation)
+}
+
+// crashToWire sends the time of a crash as the time since, because the clocks of
+// two VMs may differ.
+func crashToWire(c work.Crash, now time.Time) *v1.MinionCrash {
+	crash := &v1.MinionCrash{Minion: c.Minion, Incarnation: c.Incarnation, Ago: durationpb.New(now.Sub(c.At))}
+	for _, r := range c.Runs {
+		crash.Runs = append(crash.Runs, &v1.CrashedRun{Run: runToWire(r.Run), Route: r.Route, Age: durationpb.New(r.Age)})
+	}
+	return crash
+}
+
+func crashFromWire(c *v1.MinionCrash, now time.Time) (work.Crash, error) {
+	crash := work.Crash{Minion: c.GetMinion(), Incarnation: c.GetIncarnation(), At: now.Add(-c.GetAgo().AsDuration())}
+	for _, r := range c.GetRuns() {
+		run, err := runFromWire(r.GetRun())
+		if err != nil {
+			return work.Crash{}, err
+		}
+		crash.Runs = append(crash.Runs, work.CrashedRun{Run: run, Route: r.GetRoute(), Age: r.GetAge().AsDuration()})
+	}
+	return crash, nil
+}
+
 // wireStates maps the states of runs to their values on the wire.
 var wireStates = map[work.State]v1.RunState{
 	work.Queued: v1.RunState_RUN_STATE_QUEUED, work.Started: v1.RunState_RUN_STATE_STARTED,
--- a/coupler/link.go
+++ b/coupler/link.go
@@ -277,11 +277,16 @@
 		for _, r := range c.Reports {
 			frame.Reports = append(frame.Reports, reportToWire(r))
 		}
+		for _, crash := range c.Crashes {
+			frame.Crashes = append(frame.Crashes, crashToWire(crash, clock.Now()))
+		}
 		return true
 	case supervisor.ReportRun:
 		frame.Reports = append(frame.Reports, reportToWire(c.Report))
 	case supervisor.ReportLoad:
 		frame.Load, frame.Taken = loadToWire(c.Load), c.OrdersReceived
+	case supervisor.ReportCrash:
+		frame.Crashes = append(frame.Crashes, crashToWire(c.Crash, clock.Now()))
 	case supervisor.ReportMinion:
 		frame.Minion, frame.Leaving = minionToWire(c.Minion, c.Usable), c.Leaving
 	}
--- a/coupler/server.go
+++ b/coupler/server.go
@@ -209,13 +209,21 @@
 		}
 		reports = append(reports, report)
 	}
+	var crashes []work.Crash
+	for _, c := range frame.GetCrashes() {
+		crash, err := crashFromWire(c, clock.Now())
+		if err != nil {
+			return nil, err
+		}
+		crashes = append(crashes, crash)
+	}
 	if frame.GetResumed() {
 		return scheduler.LinkOpened{
-			Agent: agent, Link: linkNumber, Reports: reports, Minion: minionFromWire(frame.GetMinion()),
+			Agent: agent, Link: linkNumber, Reports: reports, Crashes: crashes, Minion: minionFromWire(frame.GetMinion()),
 			Usable: frame.GetMinion().GetUsable(), Leaving: frame.GetLeaving(), Load: loadFromWire(frame.GetLoad()),
 		}, nil
 	}
-	ev := scheduler.Reported{Agent: agent, Link: linkNumber, Reports: reports}
+	ev := scheduler.Reported{Agent: agent, Link: linkNumber, Reports: reports, Crashes: crashes}
 	if frame.GetLoad() != nil {
 		load := loadFromWire(frame.GetLoad())
 		ev.Load, ev.OrdersTaken = &load, frame.GetTaken()
@@ -224,7 +232,7 @@
 		minion := minionFromWire(frame.GetMinion())
 		ev.Minion, ev.Usable, ev.Leaving = &minion, frame.GetMinion().GetUsable(), frame.GetLeaving()
 	}
-	if len(reports) == 0 && ev.Load == nil && ev.Minion == nil {
+	if len(reports)+len(crashes) == 0 && ev.Load == nil && ev.Minion == nil {
 		return nil, nil
 	}
 	return ev, nil
--- a/jobber/jobber.go
+++ b/jobber/jobber.go
@@ -74,9 +74,12 @@
 // to its answer.
 type jobMetrics struct {
 	submitted, placed, stopped metrics.Counter
-	outcomes                   map[work.Outcome]metrics.Counter
-	endedRuns                  map[work.State]metrics.Counter
-	answerTime                 metrics.Timer
+	// crashes counts crashes of minions, and condemned the tasks that were given up
+	// because of them.
+	crashes, condemned metrics.Counter
+	outcomes           map[work.Outcome]metrics.Counter
+	endedRuns          map[work.State]metrics.Counter
+	answerTime         metrics.Timer
 }
 
 // New starts a Jobber.
@@ -96,6 +99,8 @@
 		submitted:  metrics.GetOrRegisterCounter("jobs-submitted", r),
 		placed:     metrics.GetOrRegisterCounter("runs-placed", r),
 		stopped:    metrics.GetOrRegisterCounter("runs-stopped", r),
+		crashes:    metrics.GetOrRegisterCounter("minion-crashes", r),
+		condemned:  metrics.GetOrRegisterCounter("tasks-condemned", r),
 		outcomes:   make(map[work.Outcome]metrics.Counter),
 		endedRuns:  make(map[work.State]metrics.Counter),
 		answerTime: metrics.GetOrRegisterTimer("job-answer", r),
@@ -235,6 +240,14 @@
 		j.options.Send(c.Link, c)
 	case scheduler.Answer:
 		j.answer(c)
+	case scheduler.CrashRecorded:
+		j.metrics.crashes.Inc(1)
+		j.options.Log.Info("scheduler: A minion crashed", "agent", c.Agent.Name, "minion", c.Crash.Minion, "incarnation", c.Crash.Incarnation,
+			"runs", len(c.Crash.Runs))
+	case scheduler.TaskCondemned:
+		j.metrics.condemned.Inc(1)
+		j.options.Log.Warn("scheduler: A task crashes minions", "job", c.Verdict.Task.Job, "index", c.Verdict.Task.Index, "route", c.Verdict.Route,
+			"crashes", c.Verdict.Crashes, "age", c.Verdict.Age, "proved", c.Verdict.Proved)
 	case scheduler.LogMessage:
 		j.logMessage(c)
 	}
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -220,6 +220,8 @@
 		m.options.Send(c.Entry, c)
 	case supervisor.ReportLoad:
 		m.options.Send(c.Entry, c)
+	case supervisor.ReportCrash:
+		m.options.Send(c.Entry, c)
 	case supervisor.ReportMinion:
 		m.options.Log.Info("supervisor: The minion changed", "entry", c.Entry, "minion", c.Minion.Name, "usable", c.Usable,
 			"draining", c.Minion.Draining, "leaving", c.Leaving)
--- a/rehearser/agent.go
+++ b/rehearser/agent.go
@@ -152,12 +152,17 @@
 		a.send(c.Entry, func(k *link) scheduler.Event {
 			return scheduler.LinkOpened{
 				Agent: k.agentID(), Link: k.number, Reports: c.Reports, Minion: c.Minion, Usable: c.Usable, Leaving: c.Leaving, Load: c.Load,
+				Crashes: c.Crashes,
 			}
 		})
 	case supervisor.ReportRun:
 		a.send(c.Entry, func(k *link) scheduler.Event {
 			return scheduler.Reported{Agent: k.agentID(), Link: k.number, Reports: []work.Report{c.Report}}
 		})
+	case supervisor.ReportCrash:
+		a.send(c.Entry, func(k *link) scheduler.Event {
+			return scheduler.Reported{Agent: k.agentID(), Link: k.number, Crashes: []work.Crash{c.Crash}}
+		})
 	case supervisor.ReportLoad:
 		a.send(c.Entry, func(k *link) scheduler.Event {
 			return scheduler.Reported{Agent: k.agentID(), Link: k.number, Load: &c.Load, OrdersTaken: c.OrdersReceived}
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -44,6 +44,9 @@
 	// backoffUntil is the time until which the agent is given no work after a
 	// refusal.
 	backoffUntil time.Time
+	// probationUntil is the end of the probation of the last suspect that this
+	// entry placed here.
+	probationUntil time.Time
 	health
 }
 
@@ -61,6 +64,8 @@
 	Link  uint64
 	// Reports list all runs that the agent holds for this entry.
 	Reports []work.Report
+	// Crashes are the recent crashes of the minion.
+	Crashes []work.Crash
 	Minion  work.Minion
 	Usable  bool
 	Leaving bool
@@ -78,6 +83,8 @@
 	Agent   AgentID
 	Link    uint64
 	Reports []work.Report
+	// Crashes are new crashes of the minion.
+	Crashes []work.Crash
 	// Load is nil if it has not changed. OrdersTaken counts the orders of the
 	// link that it includes.
 	Load        *work.Load
@@ -99,6 +106,7 @@
 		return
 	}
 	a.link, a.disconnectedAt, a.load = ev.Link, time.Time{}, ev.Load.Bounded()
+	c.recordCrashes(now, a, ev.Crashes)
 	c.updateMinion(now, a, ev.Minion, ev.Usable, ev.Leaving)
 	held := make(map[work.Run]bool, len(ev.Reports))
 	for _, report := range ev.Reports {
@@ -141,6 +149,7 @@
 	if a == nil || a.link != ev.Link {
 		return
 	}
+	c.recordCrashes(now, a, ev.Crashes)
 	for _, report := range ev.Reports {
 		c.handleReport(now, a, report)
 	}
@@ -279,6 +288,7 @@
 	}
 	a.removeRun(t)
 	t.agent = nil
+	c.endProbation(a, t)
 	c.emit(LogMessage{
 		Text: "A run ended", Job: t.job.ID, Run: report.Run, Agent: a.id, State: report.State, Reason: string(report.Reason),
 		Attributes: []any{"took", report.Took, "since-placed", now.Sub(t.placedAt)},
@@ -309,6 +319,7 @@
 func (c *Core) taskDone(now time.Time, a *agent, t *task, report work.Report) {
 	t.done = true
 	a.recordSuccess()
+	c.attributor.Clear(t.run().Task)
 	t.job.observeWork(a.normalizedWork(report.Took))
 	if t.job.Hint <= 0 {
 		c.estimator.learn(t.job.Route, a.normalizedWork(report.Took))
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"agatevalve/attributor"
 	"agatevalve/common/heap"
 	"agatevalve/common/work"
 )
@@ -73,6 +74,7 @@
 	lastPlacement time.Time
 	estimator     estimator
 	arrivals      arrivals
+	attributor    *attributor.Attributor
 	commands      []Command
 	// placementDue is true if an event may have made room for a waiting task.
 	placementDue bool
@@ -160,7 +162,8 @@
 	}
 	return &Core{
 		options: o, agents: make(map[AgentID]*agent), jobs: make(map[string]*job), estimator: newEstimator(), arrivals: newArrivals(),
-		deadlines: heap.New(func(a, b jobDeadline) bool { return a.deadline.Before(b.deadline) }),
+		attributor: attributor.New(),
+		deadlines:  heap.New(func(a, b jobDeadline) bool { return a.deadline.Before(b.deadline) }),
 	}
 }
 
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -31,6 +31,9 @@
 	// objective is the latest time at which the answer counts as on time, given
 	// the work known so far.
 	objective time.Time
+	// probationUntil is the end of the probation of the last suspect that was
+	// placed. Until then no other task of the job is started.
+	probationUntil time.Time
 	// unplaceableAt is the time of the last placement pass in which a task of the
 	// job found no agent.
 	unplaceableAt time.Time
@@ -116,6 +119,9 @@
 		j.tickets = append(j.tickets, ev.Ticket) // Idempotent: it runs once, all callers are answered.
 		return
 	}
+	if c.answerCondemned(now, ev) {
+		return
+	}
 	ev.Job.Room, ev.Job.Hint = ev.Job.Room.Bounded(), work.BoundedDuration(ev.Job.Hint)
 	j := &job{Job: ev.Job, tickets: []uint64{ev.Ticket}, unfinishedTasks: ev.Job.Count}
 	j.expectedWork = c.estimator.estimate(ev.Job.Route, ev.Job.Hint)
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -68,13 +68,14 @@
 		if c.jobs[t.job.ID] != t.job {
 			continue
 		}
-		if t.job.unplaceableAt.Equal(now) {
+		if t.job.unplaceableAt.Equal(now) || now.Before(t.job.probationUntil) {
 			c.waiting = append(c.waiting, t)
 			continue
 		}
-		a, noCandidate := c.chooseAgent(now, t)
+		probation := c.attributor.Probation(t.job.ID)
+		a, noCandidate := c.chooseAgent(now, t, probation > 0)
 		if a != nil {
-			c.place(now, t, a)
+			c.place(now, t, a, probation)
 			continue
 		}
 		c.waiting = append(c.waiting, t)
@@ -131,8 +132,8 @@
 // that tasks can still go elsewhere. A free agent that is too slow for the task
 // is not chosen either while a faster one with a queue would still end it in
 // time.
-func (c *Core) chooseAgent(now time.Time, t *task) (chosen *agent, noCandidate bool) {
-	found := c.findCandidates(now, t)
+func (c *Core) chooseAgent(now time.Time, t *task, suspected bool) (chosen *agent, noCandidate bool) {
+	found := c.findCandidates(now, t, suspected)
 	if found.earliest == nil {
 		return nil, true
 	}
@@ -148,14 +149,20 @@
 	return found.earliest, false
 }
 
+// admits reports whether the agent may be given the task. A minion gets one
+// suspect at a time, so that a crash shows which one is the cause.
+func (a *agent) admits(now time.Time, t *task, suspected bool) bool {
+	if a.minion.Service != t.job.Service || !a.available(now) || !a.fits(t.job) || a.atTaskLimit(t.job) {
+		return false
+	}
+	return !a.reservedFrom(now, t) && !(suspected && now.Before(a.probationUntil))
+}
+
 // findCandidates evaluates all agents that may be given the task.
-func (c *Core) findCandidates(now time.Time, t *task) candidates {
+func (c *Core) findCandidates(now time.Time, t *task, suspected bool) candidates {
 	found := candidates{earliestEnd: math.MaxInt64, sufficientCost: math.Inf(1), queuedEnd: math.MaxInt64}
 	for _, a := range c.sortedAgents {
-		if a.minion.Service != t.job.Service || !a.available(now) || !a.fits(t.job) || a.atTaskLimit(t.job) {
-			continue
-		}
-		if a.reservedFrom(now, t) {
+		if !a.admits(now, t, suspected) {
 			continue
 		}
 		end := a.expectedEnd(t.job)
@@ -204,8 +211,8 @@
 	return j.Deadline
 }
 
-// place sends a task to an agent.
-func (c *Core) place(now time.Time, t *task, a *agent) {
+// place sends a task to an agent. A suspect is on probation there.
+func (c *Core) place(now time.Time, t *task, a *agent, probation time.Duration) {
 	t.runNumber++
 	t.agent, t.inLoad, t.placedAt = a, false, now
 	t.job.possibleStarts++
@@ -216,8 +223,13 @@
 	t.expectedRuntime = a.expectedRuntime(t.job)
 	t.order = work.Order{
 		Run: t.run(), Room: t.job.Room, Label: t.job.Label, Spec: t.job.Spec, MaxPerMinion: t.job.MaxPerMinion, Priority: t.job.Priority,
+		Route: t.job.Route, Probation: probation,
 		StartBefore: t.job.objective.Add(-t.expectedRuntime), EndBefore: t.job.Deadline, Work: t.job.expectedWork,
 	}
+	if probation > 0 {
+		a.probationUntil = now.Add(probation + probationSlack)
+		t.job.probationUntil = a.probationUntil
+	}
 	a.addRun(t)
 	c.emit(Place{Agent: a.id, Link: a.link, Order: t.order})
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -22,10 +22,15 @@
 // each.
 func newTestbed(agents int) *testbed {
 	b := &testbed{core: scheduler.New(scheduler.Options{Random: rand.New(rand.NewPCG(1, 1))}), now: time.Unix(1_800_000_000, 0)}
-	for i := range agents {
+	b.connect(0, agents)
+	return b
+}
+
+// connect connects the agents from one index to below another.
+func (b *testbed) connect(from, to int) {
+	for i := from; i < to; i++ {
 		b.step(scheduler.LinkOpened{Agent: agent(i), Link: uint64(i + 1), Minion: minion(i), Usable: true})
 	}
-	return b
 }
 
 func agent(i int) scheduler.AgentID {
--- a/supervisor/answers.go
+++ b/supervisor/answers.go
@@ -93,7 +93,7 @@
 		return
 	}
 	m.observeClock(now, ev.Clock)
-	m.lastAnswerAt, m.failedRenewals = now, 0
+	m.lastAnswerAt, m.failedRenewals, m.lapsedRuns = now, 0, nil
 	for _, e := range ev.Ended {
 		c.handleEnd(now, e)
 	}
@@ -205,7 +205,7 @@
 func (ev MinionDown) apply(c *Core, now time.Time) {
 	RenewalFailed(ev).apply(c, now)
 	wasReconciled := c.minion.reconciled
-	c.loseRuns(now, "the minion is down")
+	c.loseRunsInCrash(now)
 	c.minion.reconciled = false
 	if wasReconciled {
 		c.refuseQueued(now, work.ReasonUnreachable)
@@ -216,5 +216,8 @@
 // apply treats the incarnation that the agent knew as departed.
 func (ev OtherIncarnationAnswered) apply(c *Core, now time.Time) {
 	RenewalFailed{ListOnly: ev.ListOnly}.apply(c, now)
+	if ev.Name == c.minion.Name {
+		c.loseRunsInCrash(now)
+	}
 	MinionDeparted{Name: ev.Name}.apply(c, now)
 }
--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -19,6 +19,8 @@
 	Usable  bool
 	Leaving bool
 	Load    work.Load
+	// Crashes are the recent crashes of the minion, oldest first.
+	Crashes []work.Crash
 }
 
 // ReportRun sends an entry the state of one run.
@@ -44,6 +46,13 @@
 	Leaving bool
 }
 
+// ReportCrash notifies an entry of a crash of the minion. It precedes the reports
+// of the runs that were lost.
+type ReportCrash struct {
+	Entry string
+	Crash work.Crash
+}
+
 // CutLink closes a link. The agent then opens a new one, unless it was retired.
 type CutLink struct {
 	Entry string
@@ -96,6 +105,7 @@
 func (ReportRun) command()      {}
 func (ReportLoad) command()     {}
 func (ReportMinion) command()   {}
+func (ReportCrash) command()    {}
 func (CutLink) command()        {}
 func (StartRun) command()       {}
 func (StopRun) command()        {}
--- a/supervisor/core.go
+++ b/supervisor/core.go
@@ -127,6 +127,8 @@
 
 	minion   minionState
 	slowness slownessEstimator
+	// crashes are the recent crashes of the minion, oldest first.
+	crashes []work.Crash
 	// answerTime estimates how long the minion takes to answer orders.
 	answerTime answerTimeEstimator
 	// lastUnansweredAt is the time at which an order last went unanswered.
@@ -183,7 +185,7 @@
 		return true
 	}
 	return slices.ContainsFunc(c.sortedRuns, func(r *run) bool {
-		return r.phase != running && (r.phase != queued || r.startRefusals > 0)
+		return r.phase != running && (r.phase != queued || r.startRefusals > 0 || r.order.Probation > 0)
 	})
 }
 
@@ -197,11 +199,13 @@
 // outdated records of ended runs.
 func (c *Core) expire(now time.Time) {
 	c.expireEntries(now)
+	c.expireCrashes(now)
 	for len(c.endOrder) > 0 && now.Sub(c.endedAt[c.endOrder[0]]) > endedRunRetention {
 		delete(c.endedAt, c.endOrder[0])
 		c.endOrder = c.endOrder[1:]
 	}
 	if c.minion.leaseExpired(now) {
+		c.minion.lapsedRuns = append(c.minion.lapsedRuns, c.runsAtRisk(now)...)
 		c.loseRuns(now, "the lease has lapsed")
 	}
 	for _, r := range c.copyRuns() {
@@ -311,17 +315,17 @@
 
 // loseRuns ends all runs that may have been running, since the minion can't be
 // running them any more.
-func (c *Core) loseRuns(now time.Time, reason string) {
+func (c *Core) loseRuns(now time.Time, reason work.Reason) {
 	lost := 0
 	for _, r := range c.copyRuns() {
 		if r.phase != queued {
-			c.endRun(now, r, work.Report{State: work.Lost, Reason: work.Reason(reason), Took: now.Sub(r.startSentAt)})
+			c.endRun(now, r, work.Report{State: work.Lost, Reason: reason, Took: now.Sub(r.startSentAt)})
 			lost++
 		}
 	}
 	c.minion.orphans = nil
 	if lost > 0 {
-		c.emit(LogMessage{Text: "Lost the runs at the minion", Reason: reason, Count: lost, Minion: c.minion.Minion})
+		c.emit(LogMessage{Text: "Lost the runs at the minion", Reason: string(reason), Count: lost, Minion: c.minion.Minion})
 	}
 }
 
--- /dev/null
+++ b/supervisor/crashes_test.go
@@ -0,0 +1,139 @@
+package supervisor_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"agatevalve/common/work"
+	"agatevalve/supervisor"
+)
+
+// newRunningBench returns a bench with a running and a queued run.
+func newRunningBench() *bench {
+	b := newBench()
+	b.step(b.order("a", 10_000))
+	b.step(supervisor.StartAnswered{Run: run("a"), Incarnation: 1, Answer: supervisor.StartAccepted})
+	b.step(b.order("queued", 1000))
+	return b
+}
+
+func crashes(commands []supervisor.Command) []work.Crash {
+	var all []work.Crash
+	for _, c := range find[supervisor.ReportCrash](commands) {
+		all = append(all, c.Crash)
+	}
+	return all
+}
+
+func TestCrashOfTheMinionIsReportedWithItsRuns(t *testing.T) {
+	next := minion(2)
+	ends := map[string][]supervisor.Event{
+		"nothing listens":             {supervisor.MinionDown{}},
+		"another incarnation reports": {supervisor.MinionDescribed{Minion: next}},
+		"another incarnation answers": {supervisor.OtherIncarnationAnswered{Name: "m-1"}},
+		"another incarnation lists":   {supervisor.RunsListed{Incarnation: 2}},
+	}
+	for name, events := range ends {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newRunningBench()
+			out := b.step(events...)
+			found := crashes(out)
+			is.Equal(len(found), 1)
+			is.Equal(found[0].Minion, "m-1")
+			is.Equal(found[0].Incarnation, uint64(1))
+			is.Equal(len(found[0].Runs), 1) // The queued run has not been at the minion.
+			is.Equal(found[0].Runs[0].Run, run("a"))
+			is.Equal(found[0].Runs[0].Age, 3*time.Millisecond)
+			is.True(indexOf[supervisor.ReportCrash](out) < indexOf[supervisor.ReportRun](out)) // The entry learns the cause first.
+			is.Equal(len(crashes(b.step(supervisor.MinionDown{}, supervisor.MinionDescribed{Minion: minion(3)}))), 0)
+		})
+	}
+}
+
+// indexOf returns the index of the first command of a type.
+func indexOf[T supervisor.Command](commands []supervisor.Command) int {
+	for i, c := range commands {
+		if _, ok := c.(T); ok {
+			return i
+		}
+	}
+	return -1
+}
+
+func TestPlannedEndAndSilenceAreNoCrash(t *testing.T) {
+	t.Run("drained", func(t *testing.T) {
+		is := is.New(t)
+		b := newRunningBench()
+		draining := minion(1)
+		draining.Draining = true
+		b.step(supervisor.MinionDescribed{Minion: draining})
+		is.Equal(len(crashes(b.step(supervisor.MinionDown{}))), 0)
+	})
+	t.Run("departed", func(t *testing.T) {
+		is := is.New(t)
+		b := newRunningBench()
+		is.Equal(len(crashes(b.step(supervisor.MinionDeparted{Name: "m-1"}, supervisor.MinionDescribed{Minion: minion(2)}))), 0)
+	})
+	t.Run("silent for a while", func(t *testing.T) {
+		is := is.New(t)
+		b := newBench()
+		b.step(b.order("a", 10_000))
+		b.step(supervisor.StartAnswered{Run: run("a"), Incarnation: 1, Answer: supervisor.StartAccepted})
+		var out []supervisor.Command
+		for range 12 {
+			out = append(out, b.step(supervisor.FrameReceived{Entry: entry, Link: 1}, supervisor.RenewalFailed{})...)
+			out = append(out, b.advance(100*time.Millisecond)...)
+		}
+		out = append(out, b.list(nil, nil)...) // The same incarnation answers.
+		out = append(out, b.step(supervisor.MinionDescribed{Minion: minion(2)})...)
+		is.Equal(len(crashes(out)), 0)
+	})
+}
+
+func TestSilentMinionThatStartsAnewHadCrashed(t *testing.T) {
+	is := is.New(t)
+	b := newRunningBench()
+	var out []supervisor.Command
+	for range 12 {
+		out = append(out, b.step(supervisor.FrameReceived{Entry: entry, Link: 1}, supervisor.RenewalFailed{})...)
+		out = append(out, b.advance(100*time.Millisecond)...)
+	}
+	is.Equal(len(crashes(out)), 0) // It may be only silent.
+	found := crashes(b.step(supervisor.MinionDescribed{Minion: minion(2)}))
+	is.Equal(len(found), 1)
+	is.Equal(found[0].Runs[0].Run, run("a"))
+}
+
+func TestEntryThatConnectsLearnsOfRecentCrashes(t *testing.T) {
+	is := is.New(t)
+	b := newRunningBench()
+	b.step(supervisor.MinionDown{})
+	snapshots := find[supervisor.ReportSnapshot](b.step(supervisor.LinkOpened{Entry: "entry-2/1", Link: 2}))
+	is.Equal(len(snapshots[0].Crashes), 1)
+	b.advance(70 * time.Second)
+	snapshots = find[supervisor.ReportSnapshot](b.step(supervisor.LinkOpened{Entry: "entry-3/1", Link: 3}))
+	is.Equal(len(snapshots[0].Crashes), 0)
+}
+
+// Of two suspects that were at the same minion in a crash, each may be the cause.
+func TestSuspectsAreOnProbationOneAtATime(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	for _, job := range []string{"a", "b"} {
+		frame := b.order(job, 1000)
+		frame.Orders[0].Probation = 50 * time.Millisecond
+		b.step(frame)
+	}
+	b.step(supervisor.StartAnswered{Run: run("a"), Incarnation: 1, Answer: supervisor.StartAccepted})
+	is.Equal(len(find[supervisor.StartRun](b.step(b.order("sound", 1000)))), 1)
+	starts := find[supervisor.StartRun](b.advance(30 * time.Millisecond))
+	is.Equal(len(starts), 0)
+	b.step(supervisor.StartAnswered{Run: run("sound"), Incarnation: 1, Answer: supervisor.StartAccepted})
+	b.list([]supervisor.ListedRun{{Run: run("a")}, {Run: run("sound")}}, nil)
+	starts = find[supervisor.StartRun](b.advance(30 * time.Millisecond))
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Run, run("b"))
+}
--- a/supervisor/events.go
+++ b/supervisor/events.go
@@ -1,6 +1,7 @@
 package supervisor
 
 import (
+	"slices"
 	"time"
 
 	"agatevalve/common/work"
@@ -151,7 +152,7 @@
 	e.reportedLoad, e.reportedAt = c.load(), now
 	c.emit(ReportSnapshot{
 		Entry: ev.Entry, Link: ev.Link, Reports: c.reportsFor(ev.Entry),
-		Minion: c.minion.Minion, Usable: c.minion.usable(), Leaving: c.leaving, Load: e.reportedLoad,
+		Minion: c.minion.Minion, Usable: c.minion.usable(), Leaving: c.leaving, Load: e.reportedLoad, Crashes: slices.Clone(c.crashes),
 	})
 }
 
@@ -261,7 +262,7 @@
 // that this agent started.
 func (c *Core) replaceMinion(now time.Time, m work.Minion) {
 	renewalInFlight, listInFlight := c.minion.renewalInFlight, c.minion.listInFlight
-	c.loseRuns(now, "the minion has started anew")
+	c.loseRunsInCrash(now)
 	c.refuseQueued(now, work.ReasonUnreachable)
 	c.minion = minionState{Minion: m, renewalInFlight: renewalInFlight, listInFlight: listInFlight}
 	c.slowness = slownessEstimator{}
--- a/supervisor/minion.go
+++ b/supervisor/minion.go
@@ -40,6 +40,9 @@
 	// listInFlight is true while a request for lists, sent beside a renewal,
 	// waits for its answer.
 	listInFlight bool
+	// lapsedRuns are the runs that were lost because the lease lapsed while the
+	// minion was silent. If another incarnation follows, the minion had crashed.
+	lapsedRuns []work.CrashedRun
 	// departed is true once the minion has announced its shutdown.
 	departed bool
 	// nextRenewalAt delays the next renewal after a failed one.
--- a/supervisor/scheduling.go
+++ b/supervisor/scheduling.go
@@ -45,7 +45,7 @@
 	free := c.minion.Room.Minus(c.allocated)
 	var best *run
 	for _, r := range c.sortedRuns {
-		if r.phase != queued || now.Before(r.notBefore) || !free.Holds(r.order.Room) || c.atJobLimit(r) {
+		if r.phase != queued || now.Before(r.notBefore) || !free.Holds(r.order.Room) || c.atJobLimit(r) || c.awaitsProbation(now, r) {
 			continue
 		}
 		if best == nil || moreUrgent(now, r.order, best.order) {
