scheduler: Confine routes whose work crashes minions

What callers saw: with deadly tasks found after two crashes each, deadly jobs of one route still had all eleven minions down, and callers of the other routes were refused (about 31 crashes in ten seconds, each ends ten runs). Cause: work that was never tried is spread over the whole fleet, and each verdict costs two minions for three seconds. Change: after two verdicts within 10 s the jobs of a route use a third of the service's minions only, or the route's share of the work if that is more, and other routes the rest. Minions that crashed lately come first, then a hash of the agent's name, so that entries choose alike. Jobs of a confined route are admitted by what its part can do, so they are refused at once while it is down. Sixty successes in a row, or 20 s without any, free the route. A job that is lost at the age at which deadly work of its route crashed minions, as the only one, is presumed to be the cause: it isn't tried a second time, which answers its caller with a timeout (nothing is proved) at once.

--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -36,6 +36,10 @@
 	// its next minion, and probationMargin is added for the notice of the crash.
 	probationFactor = 1.5
 	probationMargin = 10 * time.Millisecond
+	// profileMargin widens the range of ages at which the deadly work of a route is
+	// known to crash minions, and maxProfileAges limits the ages that make it up.
+	profileMargin  = 5 * time.Millisecond
+	maxProfileAges = 8
 	// maxProbation limits the time for which a suspect keeps others from a minion.
 	maxProbation = 500 * time.Millisecond
 )
@@ -47,13 +51,28 @@
 	// Crashes is the number of minions that crashed while they ran the task.
 	Crashes int
 	// Age is the age of the task at its last crash.
-	Age time.Duration
-	At  time.Time
-	// Proved is true if the task is the cause of its crashes, and false if it was
-	// only lost in too many.
-	Proved bool
+	Age  time.Duration
+	At   time.Time
+	Kind VerdictKind
 }
 
+// VerdictKind tells what a verdict rests on.
+type VerdictKind string
+
+const (
+	// Proved means that the task was lost in several crashes at about the same age.
+	Proved VerdictKind = "proved"
+	// Presumed means that of all runs in one crash only those of this job had the
+	// age at which other work of the route was proved to crash minions.
+	Presumed VerdictKind = "presumed"
+	// Recurring means that the task was lost in so many crashes that it is not
+	// started again, though another cause may explain them.
+	Recurring VerdictKind = "recurring"
+)
+
+// Final reports whether the job is given up wherever it is submitted again.
+func (k VerdictKind) Final() bool { return k == Proved || k == Recurring }
+
 // Attributor keeps the recent crashes that agents have reported. It is not safe
 // for concurrent use.
 type Attributor struct {
@@ -66,6 +85,9 @@
 	// verdictOrder lists these jobs, the oldest verdict first.
 	verdicts     map[string]Verdict
 	verdictOrder []string
+	// profiles holds, by route, the ages at which tasks were proved to crash
+	// minions, the latest last.
+	profiles map[string][]time.Duration
 }
 
 // crashID identifies a crash, since an incarnation crashes once.
@@ -92,7 +114,10 @@
 
 // New returns an Attributor without crashes.
 func New() *Attributor {
-	return &Attributor{crashes: make(map[crashID]*crash), suspects: make(map[string]map[int]*suspect), verdicts: make(map[string]Verdict)}
+	return &Attributor{
+		crashes: make(map[crashID]*crash), suspects: make(map[string]map[int]*suspect), verdicts: make(map[string]Verdict),
+		profiles: make(map[string][]time.Duration),
+	}
 }
 
 // Record adds a crash, and reports whether it is new. It returns the verdicts on
@@ -114,22 +139,27 @@
 	if known, found := a.knownCause(c); found {
 		a.explain(id, known)
 	} else if cause, found := a.findCause(id, c); found {
-		verdicts = append(verdicts, a.decide(now, cause, true))
+		verdicts = append(verdicts, a.decide(now, cause, Proved))
+		a.addToProfile(cause)
 		for other := range a.suspect(cause.Run.Task).ages {
 			a.explain(other, cause.Run.Task)
 		}
+	} else if cause, found := a.presumeCause(c); found {
+		verdicts = append(verdicts, a.decide(now, cause, Presumed))
+		a.explain(id, cause.Run.Task)
 	}
 	for _, r := range c.Runs {
-		if _, decided := a.verdicts[r.Run.Job]; !decided && a.suspect(r.Run.Task).crashes >= maxTaskCrashes {
-			verdicts = append(verdicts, a.decide(now, r, false))
+		if !a.verdicts[r.Run.Job].Kind.Final() && a.suspect(r.Run.Task).crashes >= maxTaskCrashes {
+			verdicts = append(verdicts, a.decide(now, r, Recurring))
 		}
 	}
 	return verdicts, true
 }
 
 // decide stores the verdict on a run of a crash.
-func (a *Attributor) decide(now time.Time, r work.CrashedRun, proved bool) Verdict {
-	v := Verdict{Task: r.Run.Task, Route: r.Route, Crashes: a.suspect(r.Run.Task).crashes, Age: r.Age, At: now, Proved: proved}
+func (a *Attributor) decide(now time.Time, r work.CrashedRun, kind VerdictKind) Verdict {
+	v := Verdict{Task: r.Run.Task, Route: r.Route, Crashes: a.suspect(r.Run.Task).crashes, Age: r.Age, At: now, Kind: kind}
+	a.verdictOrder = slices.DeleteFunc(a.verdictOrder, func(job string) bool { return job == r.Run.Job })
 	a.verdicts[r.Run.Job] = v
 	a.verdictOrder = append(a.verdictOrder, r.Run.Job)
 	return v
@@ -178,11 +208,20 @@
 	return distinct
 }
 
+// addToProfile adds the age of a proved cause to the profile of its route.
+func (a *Attributor) addToProfile(r work.CrashedRun) {
+	ages := a.profiles[r.Route]
+	if len(ages) == maxProfileAges {
+		ages = slices.Delete(ages, 0, 1)
+	}
+	a.profiles[r.Route] = append(ages, r.Age)
+}
+
 // knownCause returns the run in a crash whose task is already known to crash
 // minions.
 func (a *Attributor) knownCause(c work.Crash) (work.Task, bool) {
 	for _, r := range c.Runs {
-		if v, found := a.verdicts[r.Run.Job]; found && v.Proved && v.Task == r.Run.Task {
+		if v, found := a.verdicts[r.Run.Job]; found && v.Kind == Proved && v.Task == r.Run.Task {
 			return v.Task, true
 		}
 	}
@@ -194,7 +233,7 @@
 func (a *Attributor) findCause(id crashID, c work.Crash) (cause work.CrashedRun, found bool) {
 	least := time.Duration(math.MaxInt64)
 	for _, r := range c.Runs {
-		if _, decided := a.verdicts[r.Run.Job]; decided {
+		if a.verdicts[r.Run.Job].Kind.Final() {
 			continue
 		}
 		if difference, similar := a.suspect(r.Run.Task).compareAges(id); similar && difference < least {
@@ -204,6 +243,24 @@
 	return cause, found
 }
 
+// presumeCause returns a run whose age is one at which the deadly work of its
+// route crashes minions, if only one job has such runs.
+func (a *Attributor) presumeCause(c work.Crash) (cause work.CrashedRun, found bool) {
+	for _, r := range c.Runs {
+		ages := a.profiles[r.Route]
+		if len(ages) == 0 || r.Age < slices.Min(ages)-profileMargin || r.Age > slices.Max(ages)+profileMargin {
+			continue
+		}
+		if found && cause.Run.Job != r.Run.Job {
+			return work.CrashedRun{}, false
+		}
+		if !found {
+			cause, found = r, true
+		}
+	}
+	return cause, found
+}
+
 // compareAges returns the least difference between the age at a crash and those at
 // other crashes, and whether enough of them are similar for a verdict.
 func (s *suspect) compareAges(id crashID) (difference time.Duration, similar bool) {
@@ -266,6 +323,9 @@
 		delete(a.verdicts, a.verdictOrder[0])
 		a.verdictOrder = a.verdictOrder[1:]
 	}
+	if len(a.verdictOrder) == 0 {
+		clear(a.profiles)
+	}
 }
 
 // forgetSuspect removes a crash from the record of a task, and the record with
--- a/attributor/attributor_test.go
+++ b/attributor/attributor_test.go
@@ -35,7 +35,7 @@
 	verdicts, _ = a.Record(start, crashed(2, lost("deadly", 0, 24), lost("long", 0, 130), lost("other", 0, 5)))
 	is.Equal(len(verdicts), 1)
 	is.Equal(verdicts[0].Task, work.Task{Job: "deadly"})
-	is.True(verdicts[0].Proved)
+	is.Equal(verdicts[0].Kind, attributor.Proved)
 	is.Equal(verdicts[0].Crashes, 2)
 	_, condemned := a.Verdict("deadly")
 	is.True(condemned)
@@ -65,7 +65,7 @@
 	a.Record(start, crashed(2, lost("job", 0, 200)))
 	verdicts, _ := a.Record(start, crashed(3, lost("job", 0, 900)))
 	is.Equal(len(verdicts), 1)
-	is.True(!verdicts[0].Proved)
+	is.Equal(verdicts[0].Kind, attributor.Recurring)
 	is.True(a.Probation("beside") > 0) // The first crash has no known cause.
 }
 
@@ -112,7 +112,7 @@
 			var runs []work.CrashedRun
 			for range rapid.IntRange(1, 6).Draw(t, "runs") {
 				r := lost(fmt.Sprintf("job-%d", rapid.IntRange(0, 5).Draw(t, "job")), rapid.IntRange(0, 1).Draw(t, "index"), rapid.IntRange(0, 400).Draw(t, "age"))
-				if _, condemned := a.Verdict(r.Run.Job); !condemned {
+				if v, _ := a.Verdict(r.Run.Job); !v.Kind.Final() {
 					runs = append(runs, r)
 				}
 			}
@@ -125,12 +125,13 @@
 			}
 			verdicts, _ := a.Record(start, crashed(minion, runs...))
 			for _, v := range verdicts {
-				if n := len(crashes[v.Task]); n < 2 || n != v.Crashes || !v.Proved && n < 3 {
+				n, needed := len(crashes[v.Task]), map[attributor.VerdictKind]int{attributor.Presumed: 1, attributor.Proved: 2, attributor.Recurring: 3}
+				if n != v.Crashes || n < needed[v.Kind] {
 					t.Fatalf("%+v after crashes at %v", v, crashes[v.Task])
 				}
 			}
 			for task := range before {
-				if _, condemned := a.Verdict(task.Job); !condemned && len(crashes[task]) >= 3 {
+				if v, _ := a.Verdict(task.Job); !v.Kind.Final() && len(crashes[task]) >= 3 {
 					t.Fatalf("%v is not given up after crashes at %v", task, crashes[task])
 				}
 			}
--- a/jobber/jobber.go
+++ b/jobber/jobber.go
@@ -247,7 +247,11 @@
 	case scheduler.TaskCondemned:
 		j.metrics.condemned.Inc(1)
 		j.options.Log.Warn("scheduler: A task crashes minions", "job", c.Verdict.Task.Job, "index", c.Verdict.Task.Index, "route", c.Verdict.Route,
-			"crashes", c.Verdict.Crashes, "age", c.Verdict.Age, "proved", c.Verdict.Proved)
+			"crashes", c.Verdict.Crashes, "age", c.Verdict.Age, "verdict", string(c.Verdict.Kind))
+	case scheduler.RouteConfined:
+		j.options.Log.Warn("scheduler: Confined a route whose work crashes minions", "route", c.Route, "share", c.Share)
+	case scheduler.RouteReleased:
+		j.options.Log.Info("scheduler: Released a route", "route", c.Route, "successes", c.Successes)
 	case scheduler.LogMessage:
 		j.logMessage(c)
 	}
--- a/rehearser/callers.go
+++ b/rehearser/callers.go
@@ -118,6 +118,13 @@
 	return d.Share > 0 && d.Route == route.Name && elapsed >= d.At && elapsed < d.At+d.For && w.callerRandom.Float64() < d.Share
 }
 
+// settled reports whether the job arrived in the settled part of a period of
+// deadly work.
+func (c *caller) settled() bool {
+	d, elapsed := c.world.day.DeadlyWork, c.arrivedAt.Sub(c.world.start)
+	return elapsed >= d.At+settlingTime && elapsed < d.At+d.For
+}
+
 // send submits the job to a random entry that is up, or retries later if there
 // is none.
 func (c *caller) send() {
--- a/rehearser/deadly_test.go
+++ b/rehearser/deadly_test.go
@@ -1,6 +1,7 @@
 package rehearser_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -31,3 +32,21 @@
 		is.True(result.JobCrashes <= 2)
 	}
 }
+
+// Guards against deadly work of one route that takes the minions from all. Once
+// entries know of it, sound routes lose a twentieth at most.
+func TestSoundRoutesAreServedBesideDeadlyWork(t *testing.T) {
+	for _, share := range []float64{0.01, 0.1, 0.5} {
+		t.Run(fmt.Sprint(share), func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(3) {
+				result, without := rehearser.Play(deadlyDay(seed, "hold", share)), rehearser.Play(deadlyDay(seed, "hold", 0))
+				t.Logf("%+v, without: %v", result, without.SettledWorthByRoute)
+				is.Equal(result.Violations, nil)
+				for _, route := range []string{"assign", "check"} {
+					is.True(result.SettledWorthByRoute[route] >= without.SettledWorthByRoute[route]-0.05)
+				}
+			}
+		})
+	}
+}
--- a/rehearser/rehearser.go
+++ b/rehearser/rehearser.go
@@ -43,6 +43,8 @@
 	// crashes, and crashDowntime the time until the minion is back.
 	crashDelay    = 15 * time.Millisecond
 	crashDowntime = 3200 * time.Millisecond
+	// settlingTime is the time in which entries have to find out about deadly work.
+	settlingTime = 2 * time.Second
 )
 
 // Route is a route with the load on it.
@@ -181,8 +183,9 @@
 	// Violations lists the violated guarantees, each with the time since the
 	// start of the day; empty if all held.
 	Violations []string
-	// WorthByRoute is the Worth of each route.
-	WorthByRoute map[string]float64
+	// WorthByRoute is the Worth of each route, and SettledWorthByRoute that of the
+	// jobs that arrived when deadly work had gone on for settlingTime.
+	WorthByRoute, SettledWorthByRoute map[string]float64
 }
 
 // scheduledEvent is an action at a virtual time. Events at the same time run in
--- a/rehearser/verifier.go
+++ b/rehearser/verifier.go
@@ -55,9 +55,10 @@
 	downUntil []time.Time
 	result    Result
 	// earnedWorth and offeredWorth are the sums of the worth of answers and of
-	// jobs, by route.
+	// jobs, by route, and settledWorth are those of Result.SettledWorthByRoute.
 	earnedWorth  map[string]float64
 	offeredWorth map[string]float64
+	settledWorth struct{ earned, offered map[string]float64 }
 }
 
 // agentProcess is one incarnation of an agent process.
@@ -74,11 +75,28 @@
 }
 
 func newVerifier(w *world) *verifier {
-	return &verifier{
+	v := &verifier{
 		world: w, failures: make(map[work.Task]int), startedBy: make(map[work.Run]agentProcess), running: make(map[work.Task]placement), startedJobs: make(map[string]bool), drainDeadlines: make(map[string]time.Time),
 		crashes: make(map[work.Task]int), startsAfterCrashes: make(map[work.Task]int), jobCrashes: make(map[string]int),
 		callerLeftAt: make(map[string]time.Time), earnedWorth: make(map[string]float64), offeredWorth: make(map[string]float64),
 	}
+	v.settledWorth.earned, v.settledWorth.offered = make(map[string]float64), make(map[string]float64)
+	return v
+}
+
+// offer adds to the worth of the jobs, and earn to that of the answers.
+func (v *verifier) offer(c *caller, worth float64) {
+	v.offeredWorth[c.route.Name] += worth
+	if c.settled() {
+		v.settledWorth.offered[c.route.Name] += worth
+	}
+}
+
+func (v *verifier) earn(c *caller, worth float64) {
+	v.earnedWorth[c.route.Name] += worth
+	if c.settled() {
+		v.settledWorth.earned[c.route.Name] += worth
+	}
 }
 
 // violation records a violated guarantee and the time since the start of the day.
@@ -198,7 +216,7 @@
 func (v *verifier) jobSubmitted(c *caller) {
 	v.result.Jobs++
 	if !c.deadly {
-		v.offeredWorth[c.route.Name] += c.route.Worth
+		v.offer(c, c.route.Worth)
 	}
 }
 
@@ -225,7 +243,7 @@
 	v.result.CallersLeft++
 	v.callerLeftAt[c.id] = v.world.now
 	if !c.deadly {
-		v.offeredWorth[c.route.Name] -= c.route.Worth
+		v.offer(c, -c.route.Worth)
 	}
 }
 
@@ -250,10 +268,10 @@
 		}
 		if onTime {
 			v.result.OnTime++
-			v.earnedWorth[c.route.Name] += c.route.Worth
+			v.earn(c, c.route.Worth)
 		} else {
 			v.result.Late++
-			v.earnedWorth[c.route.Name] += lateWorthFactor * c.route.Worth
+			v.earn(c, lateWorthFactor*c.route.Worth)
 		}
 	case work.NotRun:
 		v.result.Refused++
@@ -268,12 +286,15 @@
 // finalResult computes the worth and returns the result.
 func (v *verifier) finalResult() Result {
 	totalEarned, totalOffered := 0.0, 0.0
-	v.result.WorthByRoute = make(map[string]float64)
+	v.result.WorthByRoute, v.result.SettledWorthByRoute = make(map[string]float64), make(map[string]float64)
 	for _, name := range slices.Sorted(maps.Keys(v.offeredWorth)) { // Sums of floats depend on their order.
 		offered := v.offeredWorth[name]
 		totalEarned += v.earnedWorth[name]
 		totalOffered += offered
 		v.result.WorthByRoute[name] = v.earnedWorth[name] / offered
+		if settled := v.settledWorth.offered[name]; settled > 0 {
+			v.result.SettledWorthByRoute[name] = v.settledWorth.earned[name] / settled
+		}
 	}
 	v.result.Worth = totalEarned / totalOffered
 	return v.result
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -40,6 +40,9 @@
 			continue
 		}
 		f.fitting = true
+		if !c.bulkheads.opensTo(a, j) {
+			continue
+		}
 		if !a.available(now) {
 			continue
 		}
@@ -78,7 +81,7 @@
 func (c *Core) fitsNow(now time.Time, j *job) bool {
 	room := 0
 	for _, a := range c.sortedAgents {
-		if a.minion.Service != j.Service || !a.available(now) || !a.fits(j) {
+		if a.minion.Service != j.Service || !a.available(now) || !a.fits(j) || !c.bulkheads.opensTo(a, j) {
 			continue
 		}
 		free := a.minion.Room.Minus(a.committed())
@@ -106,7 +109,7 @@
 	workAhead, totalWork := 0.0, 0.0
 	ownLatestStart := j.objective.Add(-j.expectedWork)
 	for _, t := range c.waiting {
-		if t.job.Service != j.Service {
+		if !c.bulkheads.sameSide(t.job, j) {
 			continue
 		}
 		taskWork := float64(t.job.Room.CPU) * float64(t.job.expectedWork)
@@ -119,7 +122,7 @@
 	if totalWork == 0 {
 		return 0, 0
 	}
-	throughput := c.ownThroughput(j.Service)
+	throughput := c.ownThroughput(j)
 	if workAhead == 0 {
 		return 0, time.Duration(totalWork / throughput)
 	}
@@ -129,28 +132,28 @@
 }
 
 // onTimeBacklog returns the time that the minions need for those waiting tasks
-// of a service that can still meet their objective. These tasks go before all
-// others.
-func (c *Core) onTimeBacklog(now time.Time, service string) time.Duration {
+// that can still meet their objective and compete with a job. These tasks go
+// before all others.
+func (c *Core) onTimeBacklog(now time.Time, j *job) time.Duration {
 	onTimeWork := 0.0
 	for _, t := range c.waiting {
-		if t.job.Service == service && !now.After(t.latestStart()) {
+		if c.bulkheads.sameSide(t.job, j) && !now.After(t.latestStart()) {
 			onTimeWork += float64(t.job.Room.CPU) * float64(t.job.expectedWork)
 		}
 	}
 	if onTimeWork == 0 {
 		return 0
 	}
-	return time.Duration(onTimeWork / c.ownThroughput(service))
+	return time.Duration(onTimeWork / c.ownThroughput(j))
 }
 
-// ownThroughput estimates the rate at which the minions of a service do work
-// for this entry, in thousandths of a core of mean speed: the throughput of all
-// minions times this entry's share of the room in use.
-func (c *Core) ownThroughput(service string) float64 {
+// ownThroughput estimates the rate at which the minions that are open to a job do
+// work for this entry, in thousandths of a core of mean speed: the throughput of
+// these minions times this entry's share of the room in use.
+func (c *Core) ownThroughput(j *job) float64 {
 	throughput, ownCPU, takenCPU := 0.0, int64(0), int64(0)
 	for _, a := range c.sortedAgents {
-		if a.minion.Service != service || !a.acceptsWork() {
+		if a.minion.Service != j.Service || !a.acceptsWork() || !c.bulkheads.opensTo(a, j) {
 			continue
 		}
 		throughput += float64(a.minion.Room.CPU) * math.Exp(-a.load.Slowness)
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -12,6 +12,10 @@
 // to this entry.
 type agent struct {
 	id AgentID
+	// rank orders the agents for bulkheads.
+	rank uint64
+	// crashedAt is the time of the minion's last crash; zero if none is known.
+	crashedAt time.Time
 	// link is the number of the open link; 0 for none.
 	link uint64
 	// disconnectedAt is the time at which the last link closed; zero while one is
@@ -99,7 +103,7 @@
 func (ev LinkOpened) apply(c *Core, now time.Time) {
 	a := c.agents[ev.Agent]
 	if a == nil {
-		a = &agent{id: ev.Agent, runs: make(map[work.Run]*task), stopping: make(map[work.Run]work.Room)}
+		a = &agent{id: ev.Agent, rank: rankOf(ev.Agent.Name), runs: make(map[work.Run]*task), stopping: make(map[work.Run]work.Room)}
 		c.addAgent(a)
 	}
 	if ev.Link < a.link {
@@ -326,6 +330,7 @@
 	}
 	t.job.unfinishedTasks--
 	if t.job.unfinishedTasks == 0 {
+		c.observeSuccess(now, t.job.Route)
 		c.finish(now, t.job, work.Succeeded, "")
 	}
 }
--- /dev/null
+++ b/scheduler/bulkhead_test.go
@@ -0,0 +1,139 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"agatevalve/common/work"
+	"agatevalve/scheduler"
+)
+
+const deadlyAge = 20 * time.Millisecond
+
+// route returns the submission of a one-task job of a route.
+func (b *testbed) route(route, id string) scheduler.Submitted {
+	s := b.submission(id, 1)
+	s.Job.Route, s.Job.Hint = route, 50*time.Millisecond
+	return s
+}
+
+// crashUntilCondemned submits a job of route deadly that crashes the minions of its
+// agents, which come back at once, until the job is answered.
+func (b *testbed) crashUntilCondemned(id string) {
+	placed := commandsOf[scheduler.Place](b.step(b.route("deadly", id)))
+	for len(placed) > 0 {
+		p := placed[0]
+		b.now = b.now.Add(deadlyAge)
+		placed = commandsOf[scheduler.Place](b.crash(p.Agent, p.Link, deadlyAge, p))
+		b.incarnation++
+		m := minion(int(p.Link) - 1)
+		m.Incarnation += uint64(b.incarnation)
+		b.step(scheduler.Reported{Agent: p.Agent, Link: p.Link, Minion: &m, Usable: true})
+	}
+}
+
+// agentsOf returns the agents at which jobs of a route are placed.
+func (b *testbed) agentsOf(route string, jobs int) map[scheduler.AgentID]bool {
+	agents := make(map[scheduler.AgentID]bool)
+	for i := range jobs {
+		for _, p := range commandsOf[scheduler.Place](b.step(b.route(route, fmt.Sprintf("%s-%d-%d", route, b.now.UnixNano(), i)))) {
+			agents[p.Agent] = true
+		}
+	}
+	return agents
+}
+
+// newConfinedTestbed returns a testbed with nine agents and jobs of two routes,
+// one of which has deadly work.
+func newConfinedTestbed() *testbed {
+	b := newTestbed(9)
+	b.agentsOf("sound", 30)
+	b.crashUntilCondemned("d-1")
+	b.crashUntilCondemned("d-2")
+	return b
+}
+
+func TestRouteWithDeadlyWorkIsConfinedToAThirdOfTheMinions(t *testing.T) {
+	is := is.New(t)
+	b := newConfinedTestbed()
+	deadly, sound := b.agentsOf("deadly", 12), b.agentsOf("sound", 24)
+	is.True(len(deadly) > 0)
+	is.True(len(deadly) <= 3)
+	is.Equal(len(sound), 6)
+	for a := range deadly {
+		is.True(!sound[a]) // Other routes keep the rest.
+	}
+}
+
+func TestOneDeadlyJobDoesNotConfineItsRoute(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(9)
+	b.agentsOf("sound", 30)
+	b.crashUntilCondemned("d-1")
+	is.True(len(b.agentsOf("deadly", 40)) > 3)
+}
+
+// A route that is nearly all work would gain nothing from a few minions.
+func TestConfinedRouteKeepsItsShareOfTheWork(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(9)
+	b.agentsOf("deadly", 60)
+	b.crashUntilCondemned("d-1")
+	b.crashUntilCondemned("d-2")
+	is.True(len(b.agentsOf("deadly", 40)) > 6)
+}
+
+func TestConfinedRouteIsRefusedAtOnceWhileItsMinionsAreDown(t *testing.T) {
+	is := is.New(t)
+	b := newConfinedTestbed()
+	b.advance(time.Second) // Entries that have just started refuse little.
+	others := b.agentsOf("sound", 24)
+	for i := range 9 {
+		if m := minion(i); !others[agent(i)] {
+			b.step(scheduler.Reported{Agent: agent(i), Link: uint64(i + 1), Minion: &m})
+		}
+	}
+	answers := commandsOf[scheduler.Answer](b.step(b.route("deadly", "late")))
+	is.Equal(len(answers), 1)
+	is.Equal(answers[0].Outcome, work.NotRun)
+	is.True(answers[0].RetryAfter > 0)
+	is.Equal(len(commandsOf[scheduler.Place](b.step(b.route("sound", "sound")))), 1)
+}
+
+func TestRouteIsReleasedAfterEnoughSuccesses(t *testing.T) {
+	is := is.New(t)
+	b := newConfinedTestbed()
+	var released []scheduler.RouteReleased
+	for i := range 100 {
+		for _, p := range commandsOf[scheduler.Place](b.step(b.route("deadly", fmt.Sprintf("good-%d", i)))) {
+			b.now = b.now.Add(30 * time.Millisecond)
+			released = append(released, commandsOf[scheduler.RouteReleased](b.report(p, work.Report{State: work.Done, Took: 30 * time.Millisecond}))...)
+		}
+	}
+	is.Equal(len(released), 1)
+	is.True(len(b.agentsOf("deadly", 40)) > 3)
+}
+
+func TestRouteWithoutWorkIsReleasedAfterAWhile(t *testing.T) {
+	is := is.New(t)
+	b := newConfinedTestbed()
+	is.Equal(len(commandsOf[scheduler.RouteReleased](b.advance(15*time.Second))), 0)
+	is.Equal(len(commandsOf[scheduler.RouteReleased](b.advance(10*time.Second))), 1)
+}
+
+// Once it is known how deadly work of a route crashes minions, a second crash is
+// not needed to find the job.
+func TestJobThatCrashesAMinionLikeOthersIsNotTriedAgain(t *testing.T) {
+	is := is.New(t)
+	b := newConfinedTestbed()
+	placed := commandsOf[scheduler.Place](b.step(b.route("deadly", "d-3")))
+	out := b.crash(placed[0].Agent, placed[0].Link, deadlyAge, placed[0])
+	is.Equal(len(commandsOf[scheduler.Place](out)), 0)
+	is.Equal(commandsOf[scheduler.Answer](out)[0].Outcome, work.Unfinished) // Nothing is proved.
+	again := commandsOf[scheduler.Answer](b.step(b.route("deadly", "d-3")))
+	is.Equal(again[0].Outcome, work.NotRun)
+	is.True(again[0].RetryAfter > 0)
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -73,9 +73,11 @@
 	// tasks.
 	lastPlacement time.Time
 	estimator     estimator
-	arrivals      arrivals
-	attributor    *attributor.Attributor
-	commands      []Command
+	// arrivals is the rate of admitted work by priority.
+	arrivals   arrivals[int]
+	attributor *attributor.Attributor
+	bulkheads  bulkheads
+	commands   []Command
 	// placementDue is true if an event may have made room for a waiting task.
 	placementDue bool
 	// hasUsableAgent is true while any agent accepts work.
@@ -161,9 +163,9 @@
 		o.MaxQueueWait = DefaultMaxQueueWait
 	}
 	return &Core{
-		options: o, agents: make(map[AgentID]*agent), jobs: make(map[string]*job), estimator: newEstimator(), arrivals: newArrivals(),
-		attributor: attributor.New(),
-		deadlines:  heap.New(func(a, b jobDeadline) bool { return a.deadline.Before(b.deadline) }),
+		options: o, agents: make(map[AgentID]*agent), jobs: make(map[string]*job), estimator: newEstimator(), arrivals: newArrivals[int](),
+		attributor: attributor.New(), bulkheads: newBulkheads(),
+		deadlines: heap.New(func(a, b jobDeadline) bool { return a.deadline.Before(b.deadline) }),
 	}
 }
 
@@ -176,6 +178,7 @@
 		ev.apply(c, now)
 	}
 	c.updateAgentGrace(now)
+	c.partition(now)
 	c.expireAgents(now)
 	c.expireJobs(now)
 	c.expireWaiting(now)
--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -14,6 +14,9 @@
 // reasonCrashes is the reason for giving up jobs that crash minions.
 const reasonCrashes = "a task of it crashed the minions that started it; don't send it again as it is"
 
+// reasonMayCrash is the reason for not trying jobs that may have crashed a minion.
+const reasonMayCrash = "a minion crashed that ran a task of it, as others did under work of the same route"
+
 // recordCrashes records crashes that an agent reports, and gives up jobs with a
 // task that crashes minions.
 func (c *Core) recordCrashes(now time.Time, a *agent, crashes []work.Crash) {
@@ -23,24 +26,46 @@
 			continue
 		}
 		c.emit(CrashRecorded{Agent: a.id, Crash: crash})
+		if crash.At.After(a.crashedAt) {
+			a.crashedAt, c.bulkheads.partitionedAt = crash.At, time.Time{}
+		}
 		for _, v := range verdicts {
 			c.emit(TaskCondemned{Verdict: v})
+			if v.Kind != attributor.Recurring {
+				c.observeVerdict(now, v)
+			}
 			if j := c.jobs[v.Task.Job]; j != nil {
-				c.finish(now, j, work.Exhausted, reasonCrashes)
+				c.condemn(now, j, v)
 			}
 		}
 	}
 }
 
-// answerCondemned answers a submission of a job with a task that is known to
-// crash minions, and reports whether it is one.
+// condemn gives up a job because of a verdict. If its guilt is only presumed, its
+// caller may send it again.
+func (c *Core) condemn(now time.Time, j *job, v attributor.Verdict) {
+	if v.Kind.Final() {
+		c.finish(now, j, work.Exhausted, reasonCrashes)
+		return
+	}
+	c.finish(now, j, work.Unfinished, reasonMayCrash)
+}
+
+// answerCondemned answers a submission of a job that was given up because of
+// crashes, and reports whether it is one. A job that is only presumed to crash
+// minions is tried again once its route is free.
 func (c *Core) answerCondemned(now time.Time, ev Submitted) bool {
-	if _, condemned := c.attributor.Verdict(ev.Job.ID); !condemned {
+	v, condemned := c.attributor.Verdict(ev.Job.ID)
+	answer := Answer{Tickets: []uint64{ev.Ticket}, Job: ev.Job.ID, Tasks: ev.Job.Count, Age: now.Sub(ev.Job.Arrived)}
+	switch {
+	case condemned && v.Kind.Final():
+		answer.Outcome, answer.Reason = work.Exhausted, reasonCrashes
+	case condemned && c.bulkheads.confines(ev.Job.Route):
+		answer.Outcome, answer.Reason, answer.RetryAfter = work.NotRun, reasonMayCrash, maxRetryAfter
+	default:
 		return false
 	}
-	c.emit(Answer{
-		Tickets: []uint64{ev.Ticket}, Job: ev.Job.ID, Outcome: work.Exhausted, Reason: reasonCrashes, Tasks: ev.Job.Count, Age: now.Sub(ev.Job.Arrived),
-	})
+	c.emit(answer)
 	return true
 }
 
--- a/scheduler/crashes_test.go
+++ b/scheduler/crashes_test.go
@@ -13,7 +13,8 @@
 // crash steps the core with the crash of an agent's minion, at which runs were
 // lost at an age.
 func (b *testbed) crash(agent scheduler.AgentID, link uint64, age time.Duration, lost ...scheduler.Place) []scheduler.Command {
-	ev := scheduler.Reported{Agent: agent, Link: link, Crashes: []work.Crash{{Minion: agent.Name, Incarnation: 1, At: b.now}}}
+	crash := work.Crash{Minion: agent.Name, Incarnation: uint64(1 + b.incarnation), At: b.now}
+	ev := scheduler.Reported{Agent: agent, Link: link, Crashes: []work.Crash{crash}}
 	for i, p := range lost {
 		ev.Crashes[0].Runs = append(ev.Crashes[0].Runs, work.CrashedRun{Run: p.Order.Run, Route: p.Order.Route, Age: age})
 		ev.Reports = append(ev.Reports, work.Report{Run: p.Order.Run, State: work.Lost, Reason: work.ReasonCrashed, Number: uint64(i + 1), Took: age})
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -126,6 +126,7 @@
 	j := &job{Job: ev.Job, tickets: []uint64{ev.Ticket}, unfinishedTasks: ev.Job.Count}
 	j.expectedWork = c.estimator.estimate(ev.Job.Route, ev.Job.Hint)
 	j.setObjective(j.expectedWork)
+	c.bulkheads.demand.add(now, j.Route, demandOf(j))
 	if reason, retry := c.checkAdmission(now, j); reason != "" {
 		c.emit(Answer{
 			Tickets: j.tickets, Job: j.ID, Outcome: work.NotRun, Reason: reason, RetryAfter: retry,
@@ -133,7 +134,7 @@
 		})
 		return
 	}
-	c.arrivals.add(now, j.Priority, float64(j.Count)*float64(j.Room.CPU)*float64(j.expectedWork))
+	c.arrivals.add(now, j.Priority, demandOf(j))
 	c.jobs[j.ID] = j
 	c.deadlines.Push(jobDeadline{deadline: j.Deadline, job: j})
 	j.tasks = make([]*task, j.Count)
--- a/scheduler/moving.go
+++ b/scheduler/moving.go
@@ -84,7 +84,7 @@
 func (c *Core) earliestEnd(now time.Time, j *job, normalizedWork time.Duration, excluded *agent) time.Duration {
 	best := time.Duration(math.MaxInt64 / 2)
 	for _, a := range c.sortedAgents {
-		if a == excluded || a.minion.Service != j.Service || !a.available(now) || !a.fits(j) {
+		if a == excluded || a.minion.Service != j.Service || !a.available(now) || !a.fits(j) || !c.bulkheads.opensTo(a, j) {
 			continue
 		}
 		best = min(best, a.expectedWait(j.Room)+a.runtimeFor(j, normalizedWork))
@@ -153,7 +153,7 @@
 	if !f.available {
 		return ""
 	}
-	ahead := c.onTimeBacklog(now, j.Service)
+	ahead := c.onTimeBacklog(now, j)
 	if now.Add(ahead + f.shortestRuntime).After(j.Deadline) {
 		return reasonBacklog
 	}
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -155,14 +155,14 @@
 	if a.minion.Service != t.job.Service || !a.available(now) || !a.fits(t.job) || a.atTaskLimit(t.job) {
 		return false
 	}
-	return !a.reservedFrom(now, t) && !(suspected && now.Before(a.probationUntil))
+	return !a.reservedFrom(now, t) && (!suspected || !now.Before(a.probationUntil))
 }
 
 // findCandidates evaluates all agents that may be given the task.
 func (c *Core) findCandidates(now time.Time, t *task, suspected bool) candidates {
 	found := candidates{earliestEnd: math.MaxInt64, sufficientCost: math.Inf(1), queuedEnd: math.MaxInt64}
 	for _, a := range c.sortedAgents {
-		if !a.admits(now, t, suspected) {
+		if !a.admits(now, t, suspected) || !c.bulkheads.opensTo(a, t.job) {
 			continue
 		}
 		end := a.expectedEnd(t.job)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -16,6 +16,8 @@
 type testbed struct {
 	core *scheduler.Core
 	now  time.Time
+	// incarnation counts the minions that were started anew.
+	incarnation int
 }
 
 // newTestbed returns a core with connected agents, whose minions have ten cores
