scheduler, supervisor: Try one task of a confined job before the others

Callers whose minions were all down waited for their deadline, or were told to come back after a second. Change: - The first task of a job on a confined route is its canary: it is on probation, one at a time at each minion, until a list that the minion made after the age of known deadly work still shows it. Then the rest of the job runs anywhere. If work is found deadly after its canary survived, whole jobs are confined. - The time of a crash is that of the first broken renewal, so ages are exact to a few milliseconds and the tolerance for equal ages is 6 ms in place of 10. - A route is confined by two verdicts within 2 s (10 s before), and free after 30 successes. Jobs whose minions are all down are given up or refused at once if these are back too late, with a Retry-After for their return; jobs with time wait.

--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -30,7 +30,7 @@
 	// ageTolerance and ageToleranceShare bound the difference of two ages that
 	// count as the same: agents notice crashes at different times, and minions
 	// differ in speed.
-	ageTolerance      = 10 * time.Millisecond
+	ageTolerance      = 6 * time.Millisecond
 	ageToleranceShare = 0.05
 	// probationFactor times the age at its crashes is how long a suspect may crash
 	// its next minion, and probationMargin is added for the notice of the crash.
@@ -51,9 +51,11 @@
 	// Crashes is the number of minions that crashed while they ran the task.
 	Crashes int
 	// Age is the age of the task at its last crash.
-	Age  time.Duration
-	At   time.Time
-	Kind VerdictKind
+	Age time.Duration
+	// OnProbation is true if the task was on probation at its last crash.
+	OnProbation bool
+	At          time.Time
+	Kind        VerdictKind
 }
 
 // VerdictKind tells what a verdict rests on.
@@ -158,7 +160,7 @@
 
 // decide stores the verdict on a run of a crash.
 func (a *Attributor) decide(now time.Time, r work.CrashedRun, kind VerdictKind) Verdict {
-	v := Verdict{Task: r.Run.Task, Route: r.Route, Crashes: a.suspect(r.Run.Task).crashes, Age: r.Age, At: now, Kind: kind}
+	v := Verdict{Task: r.Run.Task, Route: r.Route, Crashes: a.suspect(r.Run.Task).crashes, Age: r.Age, OnProbation: r.OnProbation, At: now, Kind: kind}
 	a.verdictOrder = slices.DeleteFunc(a.verdictOrder, func(job string) bool { return job == r.Run.Job })
 	a.verdicts[r.Run.Job] = v
 	a.verdictOrder = append(a.verdictOrder, r.Run.Job)
@@ -186,7 +188,17 @@
 	return min(time.Duration(probationFactor*float64(oldest))+probationMargin, maxProbation)
 }
 
-// Clear records that a task has succeeded, so that it is no suspect any more.
+// DeadlyAge returns the age by which the deadly work of a route has crashed its
+// minions; 0 if there is none.
+func (a *Attributor) DeadlyAge(route string) time.Duration {
+	if ages := a.profiles[route]; len(ages) > 0 {
+		return slices.Max(ages) + profileMargin
+	}
+	return 0
+}
+
+// Clear records that a task has succeeded or survived its probation, so that it is
+// no suspect any more.
 func (a *Attributor) Clear(t work.Task) {
 	if s := a.suspects[t.Job][t.Index]; s != nil {
 		clear(s.ages)
@@ -244,13 +256,18 @@
 }
 
 // presumeCause returns a run whose age is one at which the deadly work of its
-// route crashes minions, if only one job has such runs.
+// route crashes minions, if only one job has such runs. Runs on probation go
+// before others.
 func (a *Attributor) presumeCause(c work.Crash) (cause work.CrashedRun, found bool) {
+	probation := slices.ContainsFunc(c.Runs, func(r work.CrashedRun) bool { return r.OnProbation })
 	for _, r := range c.Runs {
 		ages := a.profiles[r.Route]
 		if len(ages) == 0 || r.Age < slices.Min(ages)-profileMargin || r.Age > slices.Max(ages)+profileMargin {
 			continue
 		}
+		if probation && !r.OnProbation {
+			continue
+		}
 		if found && cause.Run.Job != r.Run.Job {
 			return work.CrashedRun{}, false
 		}
--- a/common/work/crash.go
+++ b/common/work/crash.go
@@ -17,4 +17,6 @@
 	Route string
 	// Age is the time from the start order to the crash.
 	Age time.Duration
+	// OnProbation is true if the run had not survived its probation.
+	OnProbation bool
 }
--- a/common/work/work.go
+++ b/common/work/work.go
@@ -145,6 +145,8 @@
 	ReasonUnstarted Reason = "unstarted"
 	// ReasonCrashed means that the run was lost because its minion crashed.
 	ReasonCrashed Reason = "crashed"
+	// ReasonSurvived means that a started run has survived its probation.
+	ReasonSurvived Reason = "survived"
 	// ReasonMalformed means that the minion could not decode the start order.
 	ReasonMalformed Reason = "malformed"
 )
--- a/coupler/codec.go
+++ b/coupler/codec.go
@@ -82,7 +82,7 @@
 func crashToWire(c work.Crash, now time.Time) *v1.MinionCrash {
 	crash := &v1.MinionCrash{Minion: c.Minion, Incarnation: c.Incarnation, Ago: durationpb.New(now.Sub(c.At))}
 	for _, r := range c.Runs {
-		crash.Runs = append(crash.Runs, &v1.CrashedRun{Run: runToWire(r.Run), Route: r.Route, Age: durationpb.New(r.Age)})
+		crash.Runs = append(crash.Runs, &v1.CrashedRun{Run: runToWire(r.Run), Route: r.Route, Age: durationpb.New(r.Age), OnProbation: r.OnProbation})
 	}
 	return crash
 }
@@ -94,7 +94,7 @@
 		if err != nil {
 			return work.Crash{}, err
 		}
-		crash.Runs = append(crash.Runs, work.CrashedRun{Run: run, Route: r.GetRoute(), Age: r.GetAge().AsDuration()})
+		crash.Runs = append(crash.Runs, work.CrashedRun{Run: run, Route: r.GetRoute(), Age: r.GetAge().AsDuration(), OnProbation: r.GetOnProbation()})
 	}
 	return crash, nil
 }
--- a/rehearser/callers.go
+++ b/rehearser/callers.go
@@ -95,6 +95,7 @@
 		profile := emulator.TaskProfile{Room: work.Room{CPU: route.CPU, Memory: 64}, Work: time.Duration(mean * math.Exp(w.callerRandom.NormFloat64()*taskSigma)), Fails: c.alwaysFails}
 		if c.deadly && (i == 0 || w.day.DeadlyWork.Wide) {
 			profile.CrashesAfter = crashDelay
+			profile.Work = max(profile.Work, minDeadlyWork)
 		}
 		longest = max(longest, profile.Work)
 		c.profiles = append(c.profiles, profile)
--- a/rehearser/rehearser.go
+++ b/rehearser/rehearser.go
@@ -43,6 +43,9 @@
 	// crashes, and crashDowntime the time until the minion is back.
 	crashDelay    = 15 * time.Millisecond
 	crashDowntime = 3200 * time.Millisecond
+	// minDeadlyWork is the least work of a deadly task, which would otherwise be
+	// done on a fast minion before it crashes it.
+	minDeadlyWork = 60 * time.Millisecond
 	// settlingTime is the time in which entries have to find out about deadly work.
 	settlingTime = 2 * time.Second
 )
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		f.fitting = true
-		if !c.bulkheads.opensTo(a, j) {
+		if !c.opensTo(a, j) {
 			continue
 		}
 		if !a.available(now) {
@@ -64,12 +64,15 @@
 	case !f.fitting:
 		return "no minion in reach of this entry can hold its tasks", minRetryAfter
 	case !f.available:
-		return "no minion of the service is in reach", minRetryAfter
+		return "no minion of the service is in reach", c.retryAfterReturn(now, j)
 	}
 	if end := now.Add(f.earliestEnd); end.After(j.Deadline) {
 		return "it can't end before its deadline", clampRetryAfter(end.Sub(j.Deadline))
 	}
 	ahead, all := c.backlog(now, j)
+	if wait := c.canaryWait(j); wait > 0 && now.Add(wait+f.shortestRuntime).After(j.objective) {
+		return reasonBacklog, clampRetryAfter(wait)
+	}
 	if ahead > 0 && now.Add(ahead+f.shortestRuntime).After(j.objective) && !c.fitsNow(now, j) {
 		return reasonBacklog, clampRetryAfter(all)
 	}
@@ -81,7 +84,7 @@
 func (c *Core) fitsNow(now time.Time, j *job) bool {
 	room := 0
 	for _, a := range c.sortedAgents {
-		if a.minion.Service != j.Service || !a.available(now) || !a.fits(j) || !c.bulkheads.opensTo(a, j) {
+		if a.minion.Service != j.Service || !a.available(now) || !a.fits(j) || !c.opensTo(a, j) {
 			continue
 		}
 		free := a.minion.Room.Minus(a.committed())
@@ -109,7 +112,7 @@
 	workAhead, totalWork := 0.0, 0.0
 	ownLatestStart := j.objective.Add(-j.expectedWork)
 	for _, t := range c.waiting {
-		if !c.bulkheads.sameSide(t.job, j) {
+		if !c.sameSide(t.job, j) {
 			continue
 		}
 		taskWork := float64(t.job.Room.CPU) * float64(t.job.expectedWork)
@@ -137,7 +140,7 @@
 func (c *Core) onTimeBacklog(now time.Time, j *job) time.Duration {
 	onTimeWork := 0.0
 	for _, t := range c.waiting {
-		if c.bulkheads.sameSide(t.job, j) && !now.After(t.latestStart()) {
+		if c.sameSide(t.job, j) && !now.After(t.latestStart()) {
 			onTimeWork += float64(t.job.Room.CPU) * float64(t.job.expectedWork)
 		}
 	}
@@ -153,7 +156,7 @@
 func (c *Core) ownThroughput(j *job) float64 {
 	throughput, ownCPU, takenCPU := 0.0, int64(0), int64(0)
 	for _, a := range c.sortedAgents {
-		if a.minion.Service != j.Service || !a.acceptsWork() || !c.bulkheads.opensTo(a, j) {
+		if a.minion.Service != j.Service || !a.acceptsWork() || !c.opensTo(a, j) {
 			continue
 		}
 		throughput += float64(a.minion.Room.CPU) * math.Exp(-a.load.Slowness)
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -16,6 +16,8 @@
 	rank uint64
 	// crashedAt is the time of the minion's last crash; zero if none is known.
 	crashedAt time.Time
+	// down is true from a crash until the minion is usable again.
+	down bool
 	// link is the number of the open link; 0 for none.
 	link uint64
 	// disconnectedAt is the time at which the last link closed; zero while one is
@@ -48,9 +50,8 @@
 	// backoffUntil is the time until which the agent is given no work after a
 	// refusal.
 	backoffUntil time.Time
-	// probationUntil is the end of the probation of the last suspect that this
-	// entry placed here.
-	probationUntil time.Time
+	// onProbation is the task of this entry that is on probation here; nil for none.
+	onProbation *task
 	health
 }
 
@@ -110,7 +111,7 @@
 		return
 	}
 	a.link, a.disconnectedAt, a.load = ev.Link, time.Time{}, ev.Load.Bounded()
-	c.recordCrashes(now, a, ev.Crashes)
+	c.recordCrashes(now, a, ev.Minion.Incarnation, ev.Crashes)
 	c.updateMinion(now, a, ev.Minion, ev.Usable, ev.Leaving)
 	held := make(map[work.Run]bool, len(ev.Reports))
 	for _, report := range ev.Reports {
@@ -153,7 +154,7 @@
 	if a == nil || a.link != ev.Link {
 		return
 	}
-	c.recordCrashes(now, a, ev.Crashes)
+	c.recordCrashes(now, a, a.minion.Incarnation, ev.Crashes)
 	for _, report := range ev.Reports {
 		c.handleReport(now, a, report)
 	}
@@ -226,6 +227,7 @@
 	if !usable {
 		return
 	}
+	c.observeReturn(now, a)
 	for _, o := range slices.Clone(c.sortedAgents) {
 		if o.id.Name == a.id.Name && o.id.Incarnation < a.id.Incarnation {
 			c.markRunsLost(now, o, "its agent was replaced")
@@ -285,9 +287,7 @@
 	}
 	c.placementDue = true
 	if !report.State.Ended() {
-		if report.Remaining > 0 {
-			c.handleProjection(now, a, t, report)
-		}
+		c.handleProgress(now, a, t, report)
 		return
 	}
 	a.removeRun(t)
@@ -307,6 +307,16 @@
 	}
 }
 
+// handleProgress processes a report on a run that has not ended.
+func (c *Core) handleProgress(now time.Time, a *agent, t *task, report work.Report) {
+	if report.Reason == work.ReasonSurvived {
+		c.survive(a, t)
+	}
+	if report.Remaining > 0 {
+		c.handleProjection(now, a, t, report)
+	}
+}
+
 // handleUnknownRun processes a report on a run that the entry does not wait
 // for. A run that has not ended is stopped.
 func (c *Core) handleUnknownRun(a *agent, report work.Report) {
@@ -323,7 +333,7 @@
 func (c *Core) taskDone(now time.Time, a *agent, t *task, report work.Report) {
 	t.done = true
 	a.recordSuccess()
-	c.attributor.Clear(t.run().Task)
+	c.survive(a, t)
 	t.job.observeWork(a.normalizedWork(report.Took))
 	if t.job.Hint <= 0 {
 		c.estimator.learn(t.job.Route, a.normalizedWork(report.Took))
--- a/scheduler/bulkhead.go
+++ b/scheduler/bulkhead.go
@@ -16,13 +16,13 @@
 	// crash minions within bulkheadWindow before the route is confined. A single
 	// one is stopped by its verdict.
 	bulkheadVerdicts = 2
-	bulkheadWindow   = 10 * time.Second
+	bulkheadWindow   = 2 * time.Second
 	// bulkheadShare is the least share of a service's minions that confined routes
 	// may use. It is what the service can do without for a while.
 	bulkheadShare = 1.0 / 3
 	// releaseProofs is the number of jobs of a confined route that must succeed in
 	// a row, at this entry, until it is free again.
-	releaseProofs = 60
+	releaseProofs = 30
 	// releaseTimeout frees a route on which nothing was proved for so long, either
 	// way.
 	releaseTimeout = 20 * time.Second
@@ -30,6 +30,9 @@
 	// confined routes. Minions of confined routes crash again and again, so other
 	// routes keep the rest.
 	crashMemory = 20 * time.Second
+	// canaryGrace is the time in which work that was placed before its route was
+	// confined says nothing of canaries.
+	canaryGrace = time.Second
 	// partitionInterval is the maximum age of a partition.
 	partitionInterval = 20 * time.Millisecond
 )
@@ -44,6 +47,11 @@
 	share float64
 	// successes counts the jobs that succeeded since the last verdict.
 	successes int
+	// confinedAt is the time since which the route is confined.
+	confinedAt time.Time
+	// canariesFail is true once work was proved deadly after a canary of its job
+	// had survived. Whole jobs are then confined.
+	canariesFail bool
 }
 
 // bulkheads confine routes with deadly work to a part of each service's minions,
@@ -69,7 +77,7 @@
 }
 
 func newBulkheads() bulkheads {
-	return bulkheads{routes: make(map[string]*bulkhead), demand: newArrivals[string]()}
+	return bulkheads{routes: make(map[string]*bulkhead), demand: newArrivals[string](demandWindow)}
 }
 
 // confines reports whether a route is confined.
@@ -78,22 +86,34 @@
 	return r != nil && r.confined
 }
 
+// wantsCanary reports whether one task of a job is to be tried before the others.
+func (b *bulkheads) wantsCanary(j *job) bool {
+	r := b.routes[j.Route]
+	return r != nil && r.confined && !r.canariesFail && !j.cleared
+}
+
+// holds reports whether a job may use the minions of confined routes only.
+func (c *Core) holds(j *job) bool {
+	r := c.bulkheads.routes[j.Route]
+	return r != nil && r.confined && (r.canariesFail || !j.cleared || c.attributor.Probation(j.ID) > 0)
+}
+
 // opensTo reports whether an agent may be given work of a job, as far as the
 // bulkheads are concerned.
-func (b *bulkheads) opensTo(a *agent, j *job) bool {
-	p, partitioned := b.partitions[j.Service]
+func (c *Core) opensTo(a *agent, j *job) bool {
+	p, partitioned := c.bulkheads.partitions[j.Service]
 	if !partitioned {
 		return true
 	}
-	if b.confines(j.Route) {
+	if c.holds(j) {
 		return p.members[a]
 	}
 	return !p.members[a] || p.othersDown
 }
 
 // sameSide reports whether two jobs compete for the same minions.
-func (b *bulkheads) sameSide(j, o *job) bool {
-	return j.Service == o.Service && (b.confinedCount == 0 || b.confines(j.Route) == b.confines(o.Route))
+func (c *Core) sameSide(j, o *job) bool {
+	return j.Service == o.Service && (c.bulkheads.confinedCount == 0 || c.holds(j) == c.holds(o))
 }
 
 // observeVerdict confines the route of a task that is proved to crash minions, if
@@ -106,12 +126,15 @@
 		b.routes[v.Route] = r
 	}
 	r.successes = 0
+	if r.confined && !v.OnProbation && now.Sub(r.confinedAt) > canaryGrace {
+		r.canariesFail = true
+	}
 	r.verdicts = append(r.verdicts, now)
 	r.verdicts = r.verdicts[max(0, len(r.verdicts)-bulkheadVerdicts):]
 	if r.confined || len(r.verdicts) < bulkheadVerdicts || now.Sub(r.verdicts[0]) > bulkheadWindow {
 		return
 	}
-	r.confined, r.share = true, math.Max(bulkheadShare, b.demand.shareOf(now, v.Route))
+	r.confined, r.confinedAt, r.share = true, now, math.Max(bulkheadShare, b.demand.shareOf(now, v.Route))
 	b.confinedCount++
 	b.partitionedAt = time.Time{}
 	c.emit(RouteConfined{Route: v.Route, Share: r.share})
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -77,7 +77,9 @@
 	arrivals   arrivals[int]
 	attributor *attributor.Attributor
 	bulkheads  bulkheads
-	commands   []Command
+	// downtime is the expected time for which minions are down after a crash.
+	downtime time.Duration
+	commands []Command
 	// placementDue is true if an event may have made room for a waiting task.
 	placementDue bool
 	// hasUsableAgent is true while any agent accepts work.
@@ -163,8 +165,8 @@
 		o.MaxQueueWait = DefaultMaxQueueWait
 	}
 	return &Core{
-		options: o, agents: make(map[AgentID]*agent), jobs: make(map[string]*job), estimator: newEstimator(), arrivals: newArrivals[int](),
-		attributor: attributor.New(), bulkheads: newBulkheads(),
+		options: o, agents: make(map[AgentID]*agent), jobs: make(map[string]*job), estimator: newEstimator(), arrivals: newArrivals[int](arrivalWindow),
+		attributor: attributor.New(), bulkheads: newBulkheads(), downtime: defaultDowntime,
 		deadlines: heap.New(func(a, b jobDeadline) bool { return a.deadline.Before(b.deadline) }),
 	}
 }
--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -7,10 +7,6 @@
 	"agatevalve/common/work"
 )
 
-// probationSlack is added to the probation of a suspect, which begins when its
-// minion starts it.
-const probationSlack = 10 * time.Millisecond
-
 // reasonCrashes is the reason for giving up jobs that crash minions.
 const reasonCrashes = "a task of it crashed the minions that started it; don't send it again as it is"
 
@@ -18,8 +14,9 @@
 const reasonMayCrash = "a minion crashed that ran a task of it, as others did under work of the same route"
 
 // recordCrashes records crashes that an agent reports, and gives up jobs with a
-// task that crashes minions.
-func (c *Core) recordCrashes(now time.Time, a *agent, crashes []work.Crash) {
+// task that crashes minions. The agent's minion is down if its latest incarnation
+// has crashed.
+func (c *Core) recordCrashes(now time.Time, a *agent, incarnation uint64, crashes []work.Crash) {
 	for _, crash := range crashes {
 		verdicts, isNew := c.attributor.Record(now, crash)
 		if !isNew {
@@ -27,7 +24,7 @@
 		}
 		c.emit(CrashRecorded{Agent: a.id, Crash: crash})
 		if crash.At.After(a.crashedAt) {
-			a.crashedAt, c.bulkheads.partitionedAt = crash.At, time.Time{}
+			a.crashedAt, a.down, c.bulkheads.partitionedAt = crash.At, crash.Incarnation == incarnation, time.Time{}
 		}
 		for _, v := range verdicts {
 			c.emit(TaskCondemned{Verdict: v})
@@ -69,13 +66,6 @@
 	return true
 }
 
-// endProbation ends the probation of a run that has ended.
-func (c *Core) endProbation(a *agent, t *task) {
-	if t.order.Probation > 0 {
-		a.probationUntil, t.job.probationUntil = time.Time{}, time.Time{}
-	}
-}
-
 // CrashRecorded is a crash of a minion that was reported for the first time.
 type CrashRecorded struct {
 	Agent AgentID
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -31,9 +31,11 @@
 	// objective is the latest time at which the answer counts as on time, given
 	// the work known so far.
 	objective time.Time
-	// probationUntil is the end of the probation of the last suspect that was
-	// placed. Until then no other task of the job is started.
-	probationUntil time.Time
+	// onProbation is the task that is on probation; nil for none. Until it has
+	// survived no other task of the job is started.
+	onProbation *task
+	// cleared is true once a task has survived its probation, or succeeded.
+	cleared bool
 	// unplaceableAt is the time of the last placement pass in which a task of the
 	// job found no agent.
 	unplaceableAt time.Time
@@ -202,6 +204,7 @@
 	a := t.agent
 	run := t.run()
 	a.removeRun(t)
+	c.endProbation(a, t)
 	a.stopping[run] = t.order.Room
 	if a.link != 0 {
 		c.emit(Stop{Agent: a.id, Link: a.link, Run: run})
--- a/scheduler/moving.go
+++ b/scheduler/moving.go
@@ -84,7 +84,7 @@
 func (c *Core) earliestEnd(now time.Time, j *job, normalizedWork time.Duration, excluded *agent) time.Duration {
 	best := time.Duration(math.MaxInt64 / 2)
 	for _, a := range c.sortedAgents {
-		if a == excluded || a.minion.Service != j.Service || !a.available(now) || !a.fits(j) || !c.bulkheads.opensTo(a, j) {
+		if a == excluded || a.minion.Service != j.Service || !a.available(now) || !a.fits(j) || !c.opensTo(a, j) {
 			continue
 		}
 		best = min(best, a.expectedWait(j.Room)+a.runtimeFor(j, normalizedWork))
@@ -102,10 +102,11 @@
 func (c *Core) inAgentGrace(now time.Time) bool { return now.Before(c.agentGraceUntil) }
 
 // updateAgentGrace starts the grace period in the first step and when the last
-// usable agent is lost.
+// usable agent is lost, unless it is known that its minion crashed.
 func (c *Core) updateAgentGrace(now time.Time) {
 	usable := slices.ContainsFunc(c.sortedAgents, (*agent).acceptsWork)
-	if c.agentGraceUntil.IsZero() || c.hasUsableAgent && !usable {
+	crashed := slices.ContainsFunc(c.sortedAgents, func(a *agent) bool { return a.link != 0 && a.down })
+	if c.agentGraceUntil.IsZero() || c.hasUsableAgent && !usable && !crashed {
 		c.agentGraceUntil = now.Add(agentGracePeriod)
 	}
 	c.hasUsableAgent = usable
@@ -136,15 +137,31 @@
 	}
 }
 
+// earliestStart returns the earliest time at which a task of the job may start:
+// now, or when the first minion is back if all that may run it have crashed.
+func (c *Core) earliestStart(now time.Time, j *job) time.Time {
+	if earliest, _, allDown := c.returnTimes(now, j); allDown {
+		return earliest
+	}
+	return now
+}
+
+// awaitsReturn reports whether all minions that may run the job have crashed, and
+// will be back.
+func (c *Core) awaitsReturn(now time.Time, j *job) bool {
+	_, _, allDown := c.returnTimes(now, j)
+	return allDown
+}
+
 // giveUpReason returns why a waiting task can't end in time, or "". A job that
 // has not started is given up as soon as it is late and the tasks before it
 // take too long, since its caller may go elsewhere and no work is lost.
 func (c *Core) giveUpReason(now time.Time, t *task, reachable bool) string {
 	j := t.job
 	switch {
-	case !reachable:
+	case !reachable && !c.awaitsReturn(now, j):
 		return "no minion is in reach"
-	case now.Add(time.Duration(minWorkFactor / maxSpeedup * float64(j.expectedWork))).After(j.Deadline):
+	case c.earliestStart(now, j).Add(time.Duration(minWorkFactor / maxSpeedup * float64(j.expectedWork))).After(j.Deadline):
 		return "its tasks can't end before the deadline"
 	case j.mayHaveStarted || !now.After(t.latestStart()):
 		return ""
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -68,11 +68,11 @@
 		if c.jobs[t.job.ID] != t.job {
 			continue
 		}
-		if t.job.unplaceableAt.Equal(now) || now.Before(t.job.probationUntil) {
+		if t.job.unplaceableAt.Equal(now) || c.awaitsProbation(t) {
 			c.waiting = append(c.waiting, t)
 			continue
 		}
-		probation := c.attributor.Probation(t.job.ID)
+		probation := c.probationOf(t.job)
 		a, noCandidate := c.chooseAgent(now, t, probation > 0)
 		if a != nil {
 			c.place(now, t, a, probation)
@@ -155,14 +155,14 @@
 	if a.minion.Service != t.job.Service || !a.available(now) || !a.fits(t.job) || a.atTaskLimit(t.job) {
 		return false
 	}
-	return !a.reservedFrom(now, t) && (!suspected || !now.Before(a.probationUntil))
+	return !a.reservedFrom(now, t) && (!suspected || a.onProbation == nil)
 }
 
 // findCandidates evaluates all agents that may be given the task.
 func (c *Core) findCandidates(now time.Time, t *task, suspected bool) candidates {
 	found := candidates{earliestEnd: math.MaxInt64, sufficientCost: math.Inf(1), queuedEnd: math.MaxInt64}
 	for _, a := range c.sortedAgents {
-		if !a.admits(now, t, suspected) || !c.bulkheads.opensTo(a, t.job) {
+		if !a.admits(now, t, suspected) || !c.opensTo(a, t.job) {
 			continue
 		}
 		end := a.expectedEnd(t.job)
@@ -227,8 +227,7 @@
 		StartBefore: t.job.objective.Add(-t.expectedRuntime), EndBefore: t.job.Deadline, Work: t.job.expectedWork,
 	}
 	if probation > 0 {
-		a.probationUntil = now.Add(probation + probationSlack)
-		t.job.probationUntil = a.probationUntil
+		c.beginProbation(a, t)
 	}
 	a.addRun(t)
 	c.emit(Place{Agent: a.id, Link: a.link, Order: t.order})
--- a/supervisor/answers.go
+++ b/supervisor/answers.go
@@ -93,7 +93,7 @@
 		return
 	}
 	m.observeClock(now, ev.Clock)
-	m.lastAnswerAt, m.failedRenewals, m.lapsedRuns = now, 0, nil
+	m.lastAnswerAt, m.failedRenewals, m.failingSince, m.lapsedRuns = now, 0, time.Time{}, nil
 	for _, e := range ev.Ended {
 		c.handleEnd(now, e)
 	}
@@ -128,6 +128,9 @@
 	for _, l := range ev.Running {
 		listed[l.Run] = true
 		c.handleListed(now, l, ev.RequestedAt)
+		if r := c.runs[l.Run]; r != nil && r.outlived(ev.RequestedAt) {
+			c.survive(r)
+		}
 	}
 	for orphan := range c.minion.orphans {
 		if !listed[orphan] {
@@ -197,6 +200,9 @@
 	m.renewalInFlight = false
 	c.lastUnansweredAt = now
 	m.nextRenewalAt = now.Add(min(minRenewalBackoff<<min(m.failedRenewals, maxBackoffDoublings), maxRenewalBackoff))
+	if m.failedRenewals == 0 {
+		m.failingSince = now
+	}
 	m.failedRenewals++
 }
 
--- a/supervisor/core.go
+++ b/supervisor/core.go
@@ -105,6 +105,8 @@
 	notBefore time.Time
 	// startRefusals counts the start orders that the minion refused.
 	startRefusals int
+	// survived is true once a run on probation has survived it.
+	survived bool
 	progress
 }
 
@@ -185,7 +187,7 @@
 		return true
 	}
 	return slices.ContainsFunc(c.sortedRuns, func(r *run) bool {
-		return r.phase != running && (r.phase != queued || r.startRefusals > 0 || r.order.Probation > 0)
+		return r.onProbation() || r.phase != running && (r.phase != queued || r.startRefusals > 0)
 	})
 }
 
--- a/supervisor/crashes.go
+++ b/supervisor/crashes.go
@@ -14,6 +14,9 @@
 	crashRetention = time.Minute
 	// maxCrashes limits the crashes that are kept.
 	maxCrashes = 32
+	// maxCrashNotice is the longest time from the first failed renewal to the notice
+	// of the crash that explains it.
+	maxCrashNotice = 50 * time.Millisecond
 )
 
 // loseRunsInCrash ends the runs of a minion whose process has ended, and reports
@@ -23,20 +26,30 @@
 	if c.minion.Draining || c.minion.departed {
 		reason = "the minion has left"
 	}
-	atRisk := append(c.runsAtRisk(now), c.minion.lapsedRuns...)
+	crashedAt := c.crashTime(now)
+	atRisk := append(c.runsAtRisk(crashedAt), c.minion.lapsedRuns...)
 	c.minion.lapsedRuns = nil
 	if reason == work.ReasonCrashed && len(atRisk) > 0 {
-		c.reportCrash(work.Crash{Minion: c.minion.Name, Incarnation: c.minion.Incarnation, At: now, Runs: atRisk})
+		c.reportCrash(work.Crash{Minion: c.minion.Name, Incarnation: c.minion.Incarnation, At: crashedAt, Runs: atRisk})
 	}
 	c.loseRuns(now, reason)
 }
 
-// runsAtRisk returns the runs that may be running.
-func (c *Core) runsAtRisk(now time.Time) []work.CrashedRun {
+// crashTime returns the time of a crash that is noticed now: that of the first
+// renewal that failed, since a crash breaks the connections.
+func (c *Core) crashTime(now time.Time) time.Time {
+	if since := c.minion.failingSince; !since.IsZero() && now.Sub(since) < maxCrashNotice {
+		return since
+	}
+	return now
+}
+
+// runsAtRisk returns the runs that may have been running at a time.
+func (c *Core) runsAtRisk(at time.Time) []work.CrashedRun {
 	var runs []work.CrashedRun
 	for _, r := range c.sortedRuns {
-		if r.phase != queued {
-			runs = append(runs, work.CrashedRun{Run: r.order.Run, Route: r.order.Route, Age: now.Sub(r.startSentAt)})
+		if r.phase != queued && r.startSentAt.Before(at) {
+			runs = append(runs, work.CrashedRun{Run: r.order.Run, Route: r.order.Route, Age: at.Sub(r.startSentAt), OnProbation: r.onProbation()})
 		}
 	}
 	return runs
@@ -63,13 +76,23 @@
 	}
 }
 
-// awaitsProbation reports whether a suspected run has to wait for the end of
-// another's probation. If the minion crashes, at most one suspect is there.
-func (c *Core) awaitsProbation(now time.Time, r *run) bool {
-	if r.order.Probation <= 0 {
-		return false
-	}
-	return slices.ContainsFunc(c.sortedRuns, func(o *run) bool {
-		return o.phase != queued && o.order.Probation > 0 && now.Sub(o.startSentAt) < o.order.Probation
-	})
+// onProbation reports whether the run may still crash the minion.
+func (r *run) onProbation() bool { return r.order.Probation > 0 && !r.survived }
+
+// awaitsProbation reports whether a run has to wait for the end of another's
+// probation. If the minion crashes, at most one suspect is there.
+func (c *Core) awaitsProbation(r *run) bool {
+	return r.onProbation() && slices.ContainsFunc(c.sortedRuns, func(o *run) bool { return o.phase != queued && o.onProbation() })
+}
+
+// outlived reports whether the probation of a run had ended at a time.
+func (r *run) outlived(at time.Time) bool {
+	return r.phase == running && r.onProbation() && at.Sub(r.startSentAt) >= r.order.Probation
+}
+
+// survive reports that a run has survived its probation.
+func (c *Core) survive(r *run) {
+	r.survived = true
+	c.entry(r.entry).reportPending = true
+	c.emit(ReportRun{Entry: r.entry, Report: work.Report{Run: r.order.Run, State: work.Started, Reason: work.ReasonSurvived}})
 }
--- a/supervisor/minion.go
+++ b/supervisor/minion.go
@@ -47,8 +47,10 @@
 	departed bool
 	// nextRenewalAt delays the next renewal after a failed one.
 	nextRenewalAt time.Time
-	// failedRenewals counts the failed renewals since the last answered one.
+	// failedRenewals counts the failed renewals since the last answered one, and
+	// failingSince is the time of the first of them; zero without any.
 	failedRenewals int
+	failingSince   time.Time
 }
 
 // known reports whether a minion has been described and has not departed.
--- a/supervisor/scheduling.go
+++ b/supervisor/scheduling.go
@@ -45,7 +45,7 @@
 	free := c.minion.Room.Minus(c.allocated)
 	var best *run
 	for _, r := range c.sortedRuns {
-		if r.phase != queued || now.Before(r.notBefore) || !free.Holds(r.order.Room) || c.atJobLimit(r) || c.awaitsProbation(now, r) {
+		if r.phase != queued || now.Before(r.notBefore) || !free.Holds(r.order.Room) || c.atJobLimit(r) || c.awaitsProbation(r) {
 			continue
 		}
 		if best == nil || moreUrgent(now, r.order, best.order) {
@@ -144,10 +144,13 @@
 	c.emit(command)
 }
 
-// needsNewerList reports whether a stopped run may never have started. Only a
-// list requested after the stop shows whether it did.
+// needsNewerList reports whether a stopped run may never have started, or a run
+// may have survived its probation. Only a list requested afterwards shows it.
 func (c *Core) needsNewerList(now time.Time) bool {
 	for _, r := range c.sortedRuns {
+		if r.outlived(now) {
+			return true
+		}
 		if r.phase == uncertain && !r.stopAckedAt.IsZero() && r.stopAckedAt.Before(now) {
 			return true
 		}
