supervisor: Follow a minion whose capacity shrinks and grows

What callers would see: entries placed tasks by the capacity of a minion's first report, so work queued at minions that had shrunk; a minion that doesn't guard its capacity could be filled beyond it (LIMIT). Cause: an agent passed a new description on only when its minion began to drain, and took each status report of the same incarnation for newer than the last. A report that arrives late brought back capacity that was gone, and gave a draining minion new runs (DRAIN). The rehearser shrinks minions and delays reports; its verifier counts drains and capacities from the first report that an agent got (2 s and 50 ms), which is stricter than 3.5 s from the fault.

--- a/common/work/work.go
+++ b/common/work/work.go
@@ -198,6 +198,9 @@
 	Zone        string
 	Labels      []string
 	Room        Room
+	// Sequence numbers the descriptions of one incarnation, so that a late one is
+	// recognized; 0 if unknown.
+	Sequence uint64
 	// Draining minions complete their runs and accept no new ones.
 	Draining bool
 }
--- a/emulator/leased.go
+++ b/emulator/leased.go
@@ -107,6 +107,12 @@
 // Drain makes the minion report itself as draining.
 func (m *LeasedMinion) Drain() { m.o.Minion.Draining = true }
 
+// SetRoom changes the capacity. Active runs go on.
+func (m *LeasedMinion) SetRoom(now time.Time, room work.Room) {
+	m.Advance(now)
+	m.o.Minion.Room = room
+}
+
 // Crash ends all runs as work.Lost without listing their ends.
 func (m *LeasedMinion) Crash(now time.Time) {
 	m.Advance(now)
--- a/rehearser/agent.go
+++ b/rehearser/agent.go
@@ -16,6 +16,9 @@
 	// lost and which the minion executes late.
 	minLateDelay = 2 * time.Second
 	maxLateDelay = 12 * time.Second
+	// maxLateReports is the largest number of newer status reports that a late one
+	// arrives after.
+	maxLateReports = 4
 	// orderTimeout is the agent's timeout for answers of the minion to starts
 	// and stops.
 	orderTimeout = 120 * time.Millisecond
@@ -104,11 +107,30 @@
 		return
 	}
 	if !a.world.now.Before(a.crashedUntil) {
-		a.deliver(supervisor.MinionDescribed{Minion: a.minion.Describe()})
+		a.sendStatus()
 	}
 	a.world.after(statusInterval, func() { a.reportStatus(incarnation) })
 }
 
+// sendStatus delivers a status report of the minion, at once or late.
+func (a *agentNode) sendStatus() {
+	a.lastReport++
+	description := a.minion.Describe()
+	description.Sequence = a.lastReport
+	incarnation := a.incarnation
+	deliver := func() {
+		if a.incarnation == incarnation && !a.down {
+			a.world.verifier.statusDelivered(a, description)
+			a.deliver(supervisor.MinionDescribed{Minion: description})
+		}
+	}
+	if a.world.day.LateReportShare == 0 || a.world.random.Float64() >= a.world.day.LateReportShare {
+		deliver()
+		return
+	}
+	a.world.after(time.Duration(1+a.world.random.IntN(maxLateReports))*statusInterval+statusInterval/2, deliver)
+}
+
 // stepCore steps the core and executes its commands.
 func (a *agentNode) stepCore(events []supervisor.Event) {
 	commands := a.core.Step(a.now(), events)
--- a/rehearser/faults.go
+++ b/rehearser/faults.go
@@ -1,12 +1,15 @@
 package rehearser
 
-import "time"
+import (
+	"time"
+
+	"agatevalve/common/work"
+)
 
 // injectFault starts a fault and schedules its end.
 func (w *world) injectFault(f Fault) {
 	e := w.entries[f.Entry%len(w.entries)]
 	a := w.agents[f.Minion%len(w.agents)]
-	w.verifier.faultInjected(f)
 	switch f.Kind {
 	case KillEntry:
 		w.killEntry(e)
@@ -40,6 +43,10 @@
 		w.after(f.For, func() { m.SetFailing(w.now, false) })
 	case DrainMinion:
 		a.minion.Drain()
+	case ShrinkMinion:
+		m, full := a.minion, w.day.Room
+		m.SetRoom(w.now, work.Room{CPU: full.CPU / 2, Memory: full.Memory / 2, Accelerators: full.Accelerators / 2})
+		w.after(f.For, func() { m.SetRoom(w.now, full) })
 	case CutMinion:
 		a.unreachableUntil = w.now.Add(f.For)
 	}
--- a/rehearser/fuzz_test.go
+++ b/rehearser/fuzz_test.go
@@ -16,7 +16,7 @@
 var allKinds = []rehearser.FaultKind{
 	rehearser.KillEntry, rehearser.KillAgent, rehearser.FreezeEntry, rehearser.FreezeAgent, rehearser.CutLink,
 	rehearser.CrashMinion, rehearser.SlowMinion, rehearser.StallMinion, rehearser.FailMinion, rehearser.DrainMinion,
-	rehearser.CutMinion,
+	rehearser.CutMinion, rehearser.ShrinkMinion,
 }
 
 // drawDay draws a small day with up to eight faults, which may overlap.
@@ -35,6 +35,7 @@
 		FailingJobShare:    rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "poison"),
 		LostAnswerShare:    rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "lost"),
 		LeavingCallerShare: rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "leave"),
+		LateReportShare:    rapid.SampledFrom([]float64{0, 0.4}).Draw(t, "late reports"),
 	}
 	for range rapid.IntRange(2, 5).Draw(t, "minions") {
 		day.DurationFactors = append(day.DurationFactors, rapid.SampledFrom([]float64{0.6, 1, 1.7}).Draw(t, "pace"))
--- a/rehearser/rehearser.go
+++ b/rehearser/rehearser.go
@@ -112,6 +112,9 @@
 	// LostAnswerShare is the fraction of orders to minions that are executed
 	// late and whose answer is lost.
 	LostAnswerShare float64
+	// LateReportShare is the fraction of the minions' status reports that arrive
+	// late, after newer ones.
+	LateReportShare float64
 	// LeavingCallerShare is the fraction of callers that leave before their
 	// deadline.
 	LeavingCallerShare float64
@@ -153,6 +156,8 @@
 	FailMinion  FaultKind = "fail-minion"
 	DrainMinion FaultKind = "drain-minion"
 	CutMinion   FaultKind = "cut-minion"
+	// ShrinkMinion halves the capacity of a minion.
+	ShrinkMinion FaultKind = "shrink-minion"
 )
 
 // Fault is a fault to inject.
@@ -303,6 +308,8 @@
 	unreachableUntil time.Time
 	// crashedUntil is the time of the minion's restart after a crash.
 	crashedUntil time.Time
+	// lastReport is the sequence number of the minion's last status report.
+	lastReport uint64
 	// refusesUntil is the end of a period in which the VM of a crashed minion
 	// refuses connections. After other crashes orders get no answer.
 	refusesUntil time.Time
--- a/rehearser/rehearser_test.go
+++ b/rehearser/rehearser_test.go
@@ -44,7 +44,7 @@
 	kinds := []rehearser.FaultKind{
 		rehearser.KillEntry, rehearser.KillAgent, rehearser.FreezeEntry, rehearser.FreezeAgent, rehearser.CutLink,
 		rehearser.CrashMinion, rehearser.SlowMinion, rehearser.StallMinion, rehearser.FailMinion, rehearser.DrainMinion,
-		rehearser.CutMinion,
+		rehearser.CutMinion, rehearser.ShrinkMinion,
 	}
 	for i, kind := range kinds {
 		t.Run(string(kind), func(t *testing.T) {
@@ -143,3 +143,39 @@
 	is.Equal(play(false), nil)
 	is.True(len(play(true)) > 0)
 }
+
+// A status report that arrives after a newer one gave a draining minion new runs,
+// and those that had shrunk runs beyond their capacity.
+func TestLateStatusReportsRestoreNothing(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(3) {
+		day := deskDay(seed)
+		day.Length, day.LateReportShare, day.AllowOvercommit = 14*time.Second, 0.5, true
+		for i := range day.Routes {
+			day.Routes[i].JobsPerSecond *= 1.5
+		}
+		for i := range 6 {
+			kind := rehearser.ShrinkMinion
+			if i%3 == 0 {
+				kind = rehearser.DrainMinion
+			}
+			day.Faults = append(day.Faults, rehearser.Fault{Kind: kind, At: time.Duration(1+i/2) * time.Second, For: 10 * time.Second, Minion: i})
+		}
+		result := rehearser.Play(day)
+		t.Logf("%+v", result)
+		is.Equal(strings.Join(result.Violations, "\n"), "")
+	}
+}
+
+// Entries place work by the capacity that minions have now.
+func TestShrunkMinionsCostLittle(t *testing.T) {
+	is := is.New(t)
+	day := deskDay(1)
+	for i := range 4 {
+		day.Faults = append(day.Faults, rehearser.Fault{Kind: rehearser.ShrinkMinion, At: 2 * time.Second, For: 6 * time.Second, Minion: 3 * i})
+	}
+	result := rehearser.Play(day)
+	t.Logf("%+v", result)
+	is.Equal(result.Violations, nil)
+	is.True(result.Worth >= 0.95)
+}
--- a/rehearser/verifier.go
+++ b/rehearser/verifier.go
@@ -11,12 +11,15 @@
 )
 
 const (
-	// drainGrace is the time after a status report in which a draining minion
-	// may still get new runs.
+	// drainGrace is the time after its first status report as draining in which a
+	// minion may still get new runs.
 	drainGrace = 2 * time.Second
 	// stopGrace is the time in which tasks of a job may still run after its
 	// caller has left.
 	stopGrace = 3 * time.Second
+	// shrinkGrace is the time after a status report in which orders that were sent
+	// before may still use the capacity that the minion has lost.
+	shrinkGrace = 50 * time.Millisecond
 	// maxViolations limits the violations that are recorded.
 	maxViolations = 20
 	// maxCrashes is the number of minions that a task may crash, after which it
@@ -42,9 +45,8 @@
 	running map[work.Task]placement
 	// startedJobs holds the jobs of which a task has started.
 	startedJobs map[string]bool
-	// drainDeadlines maps each draining minion to the time after which it must
-	// get no new runs.
-	drainDeadlines map[string]time.Time
+	// statuses holds the newest status report of each minion.
+	statuses map[string]status
 	// callerLeftAt maps each job whose caller has left to the time of that.
 	callerLeftAt map[string]time.Time
 	// crashes counts the minions that each task has crashed, startsAfterCrashes its
@@ -67,6 +69,16 @@
 	incarnation uint64
 }
 
+// status is a status report of a minion as an agent process has got it.
+type status struct {
+	agent       *agentNode
+	incarnation uint64
+	minion      work.Minion
+	// at is the time of the report, and drainingSince that of the first one that
+	// said that the minion is draining.
+	at, drainingSince time.Time
+}
+
 // placement is an active run and its minion.
 type placement struct {
 	run       work.Run
@@ -76,7 +88,7 @@
 
 func newVerifier(w *world) *verifier {
 	v := &verifier{
-		world: w, failures: make(map[work.Task]int), startedBy: make(map[work.Run]agentProcess), running: make(map[work.Task]placement), startedJobs: make(map[string]bool), drainDeadlines: make(map[string]time.Time),
+		world: w, failures: make(map[work.Task]int), startedBy: make(map[work.Run]agentProcess), running: make(map[work.Task]placement), startedJobs: make(map[string]bool), statuses: make(map[string]status),
 		crashes: make(map[work.Task]int), startsAfterCrashes: make(map[work.Task]int), jobCrashes: make(map[string]int),
 		callerLeftAt: make(map[string]time.Time), earnedWorth: make(map[string]float64), offeredWorth: make(map[string]float64),
 	}
@@ -106,12 +118,27 @@
 	}
 }
 
-// faultInjected records the deadline of a draining minion.
-func (v *verifier) faultInjected(f Fault) {
-	if f.Kind == DrainMinion {
-		a := v.world.agents[f.Minion%len(v.world.agents)]
-		v.drainDeadlines[a.minion.Describe().Name] = v.world.now.Add(statusInterval + drainGrace)
+// statusDelivered records the newest status report that an agent process has got
+// of its minion.
+func (v *verifier) statusDelivered(a *agentNode, m work.Minion) {
+	known := v.statuses[m.Name]
+	if known.incarnation == a.incarnation && m.Sequence < known.minion.Sequence {
+		return
+	}
+	next := status{agent: a, incarnation: a.incarnation, minion: m, drainingSince: known.drainingSince, at: v.world.now}
+	if m.Draining && (known.incarnation != a.incarnation || known.drainingSince.IsZero()) {
+		next.drainingSince = v.world.now
+	}
+	v.statuses[m.Name] = next
+}
+
+// knownStatus returns the newest status report of a minion that the present
+// process of its agent has got; its fields are zero without one.
+func (v *verifier) knownStatus(minion string) status {
+	if s := v.statuses[minion]; s.agent != nil && s.agent.incarnation == s.incarnation {
+		return s
 	}
+	return status{}
 }
 
 // runStarted checks a run that a minion has started.
@@ -127,7 +154,7 @@
 	}
 	v.checkPlacement(c, minion, run)
 	v.checkCrashes(run)
-	if deadline, draining := v.drainDeadlines[minion]; draining && at.After(deadline) {
+	if s := v.knownStatus(minion); !s.drainingSince.IsZero() && at.Sub(s.drainingSince) > drainGrace {
 		v.violation("drain: %s started at %s", run, minion)
 	}
 	if left, exists := v.callerLeftAt[run.Job]; exists && at.Sub(left) > stopGrace {
@@ -157,7 +184,7 @@
 			sameJob++
 		}
 	}
-	if !v.world.day.Room.Minus(used).Holds(v.world.profile(run.Task).Room) {
+	if !v.roomOf(minion).Minus(used).Holds(v.world.profile(run.Task).Room) {
 		v.violation("limit: %s started at %s, which is full", run, minion)
 	}
 	if limit := c.route.MaxPerMinion; limit > 0 && sameJob >= limit {
@@ -170,6 +197,15 @@
 	}
 }
 
+// roomOf returns the capacity that counts for a minion: the reported one, or all
+// of it while the report is new.
+func (v *verifier) roomOf(minion string) work.Room {
+	if s := v.knownStatus(minion); s.agent != nil && v.world.now.Sub(s.at) > shrinkGrace {
+		return s.minion.Room
+	}
+	return v.world.day.Room
+}
+
 // checkCrashes checks that a task that crashes minions is not started again and
 // again.
 func (v *verifier) checkCrashes(run work.Run) {
--- a/supervisor/events.go
+++ b/supervisor/events.go
@@ -241,17 +241,31 @@
 		c.replaceMinion(now, ev.Minion)
 		return
 	}
-	if m.departed {
+	if m.departed || ev.Minion.Sequence < m.Sequence {
 		return
 	}
 	startsDraining := ev.Minion.Draining && !m.Draining
+	changed := startsDraining || ev.Minion.Room != m.Room || !slices.Equal(ev.Minion.Labels, m.Labels)
 	m.Minion = ev.Minion
 	if startsDraining {
 		c.refuseQueued(now, work.ReasonLeaving)
+	}
+	if changed {
+		c.refuseUnfit(now)
 		c.reportMinion()
 	}
 }
 
+// refuseUnfit refuses the queued runs that need more than the minion's whole
+// capacity, which may have shrunk.
+func (c *Core) refuseUnfit(now time.Time) {
+	for _, r := range c.copyRuns() {
+		if r.phase == queued && !c.minion.Room.Holds(r.order.Room) {
+			c.endRun(now, r, work.Report{State: work.Refused, Reason: work.ReasonUnfit})
+		}
+	}
+}
+
 func (ev MinionDescriptionRestored) apply(c *Core, now time.Time) {
 	if c.minion.Name == "" {
 		c.replaceMinion(now, ev.Minion)
