--- a/jobber/jobber.go
+++ b/jobber/jobber.go
@@ -75,11 +75,12 @@
 type jobMetrics struct {
 	submitted, placed, stopped metrics.Counter
 	// crashes counts crashes of minions, and condemned the tasks that were given up
-	// because of them.
-	crashes, condemned metrics.Counter
-	outcomes           map[work.Outcome]metrics.Counter
-	endedRuns          map[work.State]metrics.Counter
-	answerTime         metrics.Timer
+	// because of them. confined and released count the routes that were confined
+	// and released.
+	crashes, condemned, confined, released metrics.Counter
+	outcomes                               map[work.Outcome]metrics.Counter
+	endedRuns                              map[work.State]metrics.Counter
+	answerTime                             metrics.Timer
 }
 
 // New starts a Jobber.
@@ -101,6 +102,8 @@
 		stopped:    metrics.GetOrRegisterCounter("runs-stopped", r),
 		crashes:    metrics.GetOrRegisterCounter("minion-crashes", r),
 		condemned:  metrics.GetOrRegisterCounter("tasks-condemned", r),
+		confined:   metrics.GetOrRegisterCounter("routes-confined", r),
+		released:   metrics.GetOrRegisterCounter("routes-released", r),
 		outcomes:   make(map[work.Outcome]metrics.Counter),
 		endedRuns:  make(map[work.State]metrics.Counter),
 		answerTime: metrics.GetOrRegisterTimer("job-answer", r),
@@ -249,8 +252,10 @@
 		j.options.Log.Warn("scheduler: A task crashes minions", "job", c.Verdict.Task.Job, "index", c.Verdict.Task.Index, "route", c.Verdict.Route,
 			"crashes", c.Verdict.Crashes, "age", c.Verdict.Age, "verdict", string(c.Verdict.Kind))
 	case scheduler.RouteConfined:
+		j.metrics.confined.Inc(1)
 		j.options.Log.Warn("scheduler: Confined a route whose work crashes minions", "route", c.Route, "share", c.Share)
 	case scheduler.RouteReleased:
+		j.metrics.released.Inc(1)
 		j.options.Log.Info("scheduler: Released a route", "route", c.Route, "successes", c.Successes)
 	case scheduler.LogMessage:
 		j.logMessage(c)
