soaker: Submit jobs that crash their minions

The soak had minions that crash by themselves only. A few jobs in a hundred now have a first task that crashes each minion that starts it, 20 ms after its start, while faults are injected. The checker finds a task that is started three times more after three crashes (planted: repeated-crashes), and takes two losses with a minion as a reason for a failed job.

--- a/soaker/agent.go
+++ b/soaker/agent.go
@@ -70,6 +70,10 @@
 		AllowOvercommit: a.index%2 == 1, Profile: a.harness.taskProfile,
 		OnStart: func(run work.Run, at time.Time) { a.harness.runStarted(name, run, at) },
 		OnEnd:   func(run work.Run, state work.State, at time.Time) { c.runStopped(run, state, at) },
+		OnCrash: func(run work.Run, at time.Time) {
+			c.minionCrashed(run, a.vm.Node, at.Add(crashDowntime))
+			go a.restartMinion(name)
+		},
 	})
 	c.mu.Lock()
 	if a.minion == nil {
@@ -85,6 +89,21 @@
 	a.minion = minion
 }
 
+// restartMinion starts the minion again some time after a task crashed it.
+func (a *agent) restartMinion(name string) {
+	a.mu.Lock()
+	a.downUntil = time.Now().Add(crashDowntime)
+	crashed := a.minion
+	a.mu.Unlock()
+	current := ""
+	crashed.WithLock(func(l *emulator.LeasedMinion, _ time.Time) { current = l.Describe().Name })
+	if current != name {
+		return // Replaced meanwhile.
+	}
+	time.Sleep(crashDowntime)
+	a.replaceMinion(crashed)
+}
+
 // ServeHTTP passes requests to the current minion. Connections to a minion that
 // is down are reset.
 func (a *agent) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -27,6 +27,12 @@
 	connectionLossGrace = 200 * time.Millisecond
 	// poisonShare is the share of jobs whose tasks always fail.
 	poisonShare = 0.03
+	// deadlyShare is the share of jobs whose first task crashes its minion, and
+	// crashDelay the time from its start until it does.
+	deadlyShare = 0.015
+	crashDelay  = 20 * time.Millisecond
+	// crashDowntime is the time from such a crash until the minion is back.
+	crashDowntime = 1200 * time.Millisecond
 )
 
 // jobKinds are the kinds of jobs that callers submit.
@@ -55,11 +61,15 @@
 	}
 	for ctx.Err() == nil {
 		job, prefix, giveUpAfter, cancel := h.drawJob()
+		deadly := h.trafficRandom.Float64() < deadlyShare
 		client := clients[h.trafficRandom.IntN(callerCount)]
 		firstEntry := h.trafficRandom.IntN(len(h.entries))
 		h.mu.Lock()
 		measured := h.operator.measured
 		h.mu.Unlock()
+		if deadly && !measured {
+			job.profiles[0].CrashesAfter = crashDelay
+		}
 		h.checker.jobSubmitted(job)
 		jobs.Go(func() {
 			outcome := h.submitUntilAnswered(client, job, prefix, firstEntry, giveUpAfter, cancel)
--- a/soaker/checker.go
+++ b/soaker/checker.go
@@ -22,6 +22,12 @@
 	// drainGrace is the time for which runs may still start at a minion after its
 	// report that it drains.
 	drainGrace = 2 * time.Second
+	// maxCrashes is the number of minions that a task may crash, after which it must
+	// not be started maxCrashes times more.
+	maxCrashes = 3
+	// minLosses is the number of runs of a task that must be lost with their minions
+	// before its job may be given up.
+	minLosses = 2
 	// undisturbedPeriod is the time without faults before an event that is required
 	// by checks which apply to undisturbed processes only.
 	undisturbedPeriod = 3 * time.Second
@@ -80,6 +86,10 @@
 	done map[int]bool
 	// failures counts the failed runs of each task, by index.
 	failures map[int]int
+	// losses counts the runs of each task that were lost with their minion, and
+	// crashes those that crashed it, by index. startsAfterCrashes counts the starts
+	// of a task that had crashed maxCrashes minions.
+	losses, crashes, startsAfterCrashes map[int]int
 	// hideCompletions makes the checker ignore completed tasks, for LostEnds.
 	hideCompletions bool
 }
@@ -159,10 +169,28 @@
 	if deadline := c.drainDeadlines[minion]; !deadline.IsZero() && at.After(deadline) && c.undisturbedSinceLocked(deadline, anyTarget) {
 		c.addViolationLocked("drain: %s started at %s", run, minion)
 	}
+	if job.crashes[run.Index] >= maxCrashes {
+		if job.startsAfterCrashes[run.Index]++; job.startsAfterCrashes[run.Index] == maxCrashes {
+			c.addViolationLocked("budget: %s started at %s after %d crashes", run, minion, job.crashes[run.Index])
+		}
+	}
 	c.running[run.Task] = placement{run: run, minion: minion, startedAt: at}
 	c.checkPlacement(job, minion, run)
 }
 
+// minionCrashed records that a run has crashed its minion, which is down until a
+// time. The lock is held.
+func (c *checker) minionCrashed(run work.Run, node string, until time.Time) {
+	if job := c.jobs[run.Job]; job != nil {
+		job.crashes[run.Index]++
+	}
+	for _, target := range []string{node, anyTarget} {
+		if until.After(c.disturbedUntil[target]) {
+			c.disturbedUntil[target] = until
+		}
+	}
+}
+
 // checkPlacement checks the capacity of the minion, and the label and the limit
 // per minion that the job requires. The lock is held.
 func (c *checker) checkPlacement(job *jobRecord, minion string, run work.Run) {
@@ -208,6 +236,8 @@
 		job.done[run.Index] = !job.hideCompletions
 	case work.Failed:
 		job.failures[run.Index]++
+	case work.Lost:
+		job.losses[run.Index]++
 	}
 	if !job.callerLeftAt.IsZero() && at.Sub(job.callerLeftAt) > cancelGrace && c.undisturbedSinceLocked(job.callerLeftAt, anyTarget) {
 		c.addViolationLocked("unasked: %s was at work until %s after its caller left", run, at.Sub(job.callerLeftAt))
@@ -219,6 +249,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	job.allNotRun, job.done, job.failures = true, make(map[int]bool), make(map[int]int)
+	job.losses, job.crashes, job.startsAfterCrashes = make(map[int]int), make(map[int]int), make(map[int]int)
 	c.jobs[job.ID] = job
 }
 
@@ -244,12 +275,15 @@
 			c.addViolationLocked("false answer: %s succeeded with %d of %d tasks done", job.ID, done, job.Count)
 		}
 	case work.Exhausted:
-		mostFailures := 0
+		mostFailures, mostLosses := 0, 0
 		for _, n := range job.failures {
 			mostFailures = max(mostFailures, n)
 		}
-		if mostFailures < maxAttempts {
-			c.addViolationLocked("false answer: %s failed after %d failures of a task", job.ID, mostFailures)
+		for _, n := range job.losses {
+			mostLosses = max(mostLosses, n)
+		}
+		if mostFailures < maxAttempts && mostLosses < minLosses {
+			c.addViolationLocked("false answer: %s failed after %d failures and %d losses of a task", job.ID, mostFailures, mostLosses)
 		}
 	}
 }
--- a/soaker/planted_faults.go
+++ b/soaker/planted_faults.go
@@ -23,6 +23,8 @@
 	DrainedStarts PlantedFault = "drained-starts"
 	// FullMinions reports starts that exceed the capacity of their minion.
 	FullMinions PlantedFault = "full-minions"
+	// RepeatedCrashes reports starts of tasks that have crashed minions before.
+	RepeatedCrashes PlantedFault = "repeated-crashes"
 	// WrongLabels reports starts at minions without the label of the job.
 	WrongLabels PlantedFault = "wrong-labels"
 	// MissingRoutes publishes configurations without their probe route.
@@ -51,6 +53,8 @@
 		c.drainDeadlines[minion] = at.Add(-time.Second)
 	case FullMinions:
 		job.profiles[run.Index].Room.CPU *= 100
+	case RepeatedCrashes:
+		job.crashes[run.Index], job.startsAfterCrashes[run.Index] = maxCrashes, maxCrashes-1
 	case WrongLabels:
 		job.Label = "nowhere"
 	}
