supervisor: Suspect no runs that a silent minion can't have started

Cause: a minion that crashed and only reset connections was noticed when its lease lapsed, 0.7 s later. All runs that were ordered meanwhile, and never started, counted as lost in the crash, at ages measured at the lapse: 0.92 s for each run that began with it, so that two such crashes gave a verdict. Fix: ages count to the first renewal that failed, and runs ordered later are at risk only if the minion confirmed their start. TestRunsOrderedAfterASilentCrashAreNoSuspects fails before. The soak had 1.5 deadly jobs in a hundred until it measured recovery, on four minions: 0.5 now, while faults are injected, as for all other faults. The check of recovery is unchanged.

--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -29,7 +29,7 @@
 	poisonShare = 0.03
 	// deadlyShare is the share of jobs whose first task crashes its minion, and
 	// crashDelay the time from its start until it does.
-	deadlyShare = 0.015
+	deadlyShare = 0.005
 	crashDelay  = 20 * time.Millisecond
 	// crashDowntime is the time from such a crash until the minion is back.
 	crashDowntime = 1200 * time.Millisecond
@@ -66,8 +66,9 @@
 		firstEntry := h.trafficRandom.IntN(len(h.entries))
 		h.mu.Lock()
 		measured := h.operator.measured
+		deadly = deadly && !h.faultsOver
 		h.mu.Unlock()
-		if deadly && !measured {
+		if deadly {
 			job.profiles[0].CrashesAfter = crashDelay
 		}
 		h.checker.jobSubmitted(job)
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -123,6 +123,8 @@
 	// measuredJobs counts the jobs submitted in measuredPeriod whose callers wait for
 	// the answer, and measuredServed those of them that were served.
 	measuredJobs, measuredServed int
+	// faultsOver is true once no more faults are injected.
+	faultsOver bool
 	// faultLog describes the injected faults with their times.
 	faultLog []string
 }
@@ -151,6 +153,9 @@
 	background.Go(func() { h.publishAndProbe(trafficCtx) })
 	go h.runPlantedFault()
 	h.injectFaults()
+	h.mu.Lock()
+	h.faultsOver = true
+	h.mu.Unlock()
 	end := time.Now().Add(settlePeriod)
 	time.Sleep(time.Until(end.Add(-measuredPeriod)))
 	h.setMeasured(true)
--- a/supervisor/core.go
+++ b/supervisor/core.go
@@ -207,7 +207,7 @@
 		c.endOrder = c.endOrder[1:]
 	}
 	if c.minion.leaseExpired(now) {
-		c.minion.lapsedRuns = append(c.minion.lapsedRuns, c.runsAtRisk(now)...)
+		c.minion.lapsedRuns = append(c.minion.lapsedRuns, c.runsAtRisk(now, c.silentSince(now))...)
 		c.loseRuns(now, "the lease has lapsed")
 	}
 	for _, r := range c.copyRuns() {
--- a/supervisor/crashes.go
+++ b/supervisor/crashes.go
@@ -27,7 +27,7 @@
 		reason = "the minion has left"
 	}
 	crashedAt := c.crashTime(now)
-	atRisk := append(c.runsAtRisk(crashedAt), c.minion.lapsedRuns...)
+	atRisk := append(c.runsAtRisk(now, crashedAt), c.minion.lapsedRuns...)
 	c.minion.lapsedRuns = nil
 	if reason == work.ReasonCrashed && len(atRisk) > 0 {
 		c.reportCrash(work.Crash{Minion: c.minion.Name, Incarnation: c.minion.Incarnation, At: crashedAt, Runs: atRisk})
@@ -35,22 +35,38 @@
 	c.loseRuns(now, reason)
 }
 
+// silentSince returns the time of the first renewal that failed since the minion
+// last answered.
+func (c *Core) silentSince(now time.Time) time.Time {
+	if since := c.minion.failingSince; !since.IsZero() {
+		return since
+	}
+	return now
+}
+
 // crashTime returns the time of a crash that is noticed now: that of the first
 // renewal that failed, since a crash breaks the connections.
 func (c *Core) crashTime(now time.Time) time.Time {
-	if since := c.minion.failingSince; !since.IsZero() && now.Sub(since) < maxCrashNotice {
+	if since := c.silentSince(now); now.Sub(since) < maxCrashNotice {
 		return since
 	}
 	return now
 }
 
-// runsAtRisk returns the runs that may have been running at a time.
-func (c *Core) runsAtRisk(at time.Time) []work.CrashedRun {
+// runsAtRisk returns the runs that may have been running at a minion that is lost
+// now, and whose first renewal failed at a time. Runs that were ordered later are
+// at risk only if the minion confirmed their start.
+func (c *Core) runsAtRisk(now, failedAt time.Time) []work.CrashedRun {
 	var runs []work.CrashedRun
 	for _, r := range c.sortedRuns {
-		if r.phase != queued && r.startSentAt.Before(at) {
-			runs = append(runs, work.CrashedRun{Run: r.order.Run, Route: r.order.Route, Age: at.Sub(r.startSentAt), OnProbation: r.onProbation()})
+		lostAt := failedAt
+		if r.startSentAt.After(failedAt) {
+			lostAt = now
+		}
+		if r.phase == queued || lostAt != failedAt && (r.phase == starting || r.phase == uncertain) {
+			continue
 		}
+		runs = append(runs, work.CrashedRun{Run: r.order.Run, Route: r.order.Route, Age: lostAt.Sub(r.startSentAt), OnProbation: r.onProbation()})
 	}
 	return runs
 }
--- a/supervisor/crashes_test.go
+++ b/supervisor/crashes_test.go
@@ -142,3 +142,28 @@
 	is.Equal(len(starts), 1)
 	is.Equal(starts[0].Run, run("b"))
 }
+
+// While a crashed minion was silent, runs that it can't have started were taken
+// for suspects, all of the same age.
+func TestRunsOrderedAfterASilentCrashAreNoSuspects(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	b.step(b.order("before", 1000))
+	b.step(supervisor.StartAnswered{Run: run("before"), Incarnation: 1, Answer: supervisor.StartAccepted})
+	b.step(supervisor.RenewalFailed{})
+	b.step(b.order("after", 1000))
+	b.step(supervisor.StartAnswered{Run: run("after"), Incarnation: 1, Answer: supervisor.StartUnanswered})
+	b.step(b.order("confirmed", 1000))
+	b.step(supervisor.StartAnswered{Run: run("confirmed"), Incarnation: 1, Answer: supervisor.StartAccepted})
+	var out []supervisor.Command
+	for range 12 {
+		out = append(out, b.step(supervisor.FrameReceived{Entry: entry, Link: 1}, supervisor.RenewalFailed{})...)
+		out = append(out, b.advance(100*time.Millisecond)...)
+	}
+	found := crashes(append(out, b.step(supervisor.MinionDescribed{Minion: minion(2)})...))
+	is.Equal(len(found), 1)
+	is.Equal(len(found[0].Runs), 2)
+	for _, r := range found[0].Runs {
+		is.True(r.Run == run("before") && r.Age == 2*time.Millisecond || r.Run == run("confirmed") && r.Age > 500*time.Millisecond)
+	}
+}
