--- a/rehearser/days.go
+++ b/rehearser/days.go
@@ -37,6 +37,9 @@
 	addDay("lost-answers", "orders carried out late", func(d *Day) { d.LostAnswerShare = 0.04 })
 	addDay("hopeless", "jobs that can never be done", func(d *Day) { d.FailingJobShare = 0.07 })
 	addDay("leave", "a wave of callers that leave", func(d *Day) { d.LeavingCallerShare = 0.3 })
+	addDay("deadly", "work of one route that crashes its minions", func(d *Day) {
+		d.DeadlyWork = DeadlyWork{Route: "hold", Share: 0.1, At: 2 * time.Second, For: 5 * time.Second}
+	})
 	addFaultDay := func(name, description string, kind FaultKind, count int, duration time.Duration) {
 		addDay(name, description, func(d *Day) {
 			for i := range count {
@@ -52,6 +55,7 @@
 	addFaultDay("entry-killed", "an entry that is killed", KillEntry, 1, 0)
 	addFaultDay("agents-killed", "agents that are killed", KillAgent, 3, 0)
 	addFaultDay("entry-frozen", "an entry that stands still", FreezeEntry, 1, 3*time.Second)
+	addFaultDay("shrunk", "minions whose capacity shrinks", ShrinkMinion, 3, 4*time.Second)
 	return days
 }
 
--- a/rehearser/deadly_test.go
+++ b/rehearser/deadly_test.go
@@ -50,3 +50,19 @@
 		})
 	}
 }
+
+// Guards against deadly work that takes more minions than the service can do
+// without, once entries know of it.
+func TestAtMostAThirdOfTheMinionsIsDownByDeadlyWork(t *testing.T) {
+	for _, share := range []float64{0.01, 0.1, 0.5} {
+		t.Run(fmt.Sprint(share), func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(6) {
+				day := deadlyDay(seed, "hold", share)
+				result := rehearser.Play(day)
+				t.Logf("%+v", result)
+				is.True(result.SettledMostDown <= len(day.DurationFactors)/3)
+			}
+		})
+	}
+}
--- a/rehearser/rehearser.go
+++ b/rehearser/rehearser.go
@@ -181,9 +181,10 @@
 	// end Done.
 	Starts, Wasted int
 	// Crashes is the number of minions that were crashed by a task, JobCrashes the
-	// largest number of those by one job, and MostDown the largest number of minions
-	// that were down at the same time because of it.
-	Crashes, JobCrashes, MostDown int
+	// largest number of those by one job, MostDown the largest number of minions that
+	// were down at the same time because of it, and SettledMostDown the same from
+	// settlingTime after the begin of deadly work on.
+	Crashes, JobCrashes, MostDown, SettledMostDown int
 	// Steps is the number of steps of all cores that had an event or a command.
 	Steps int
 	// Frames is the number of frames between entries and agents, without pings.
--- a/rehearser/verifier.go
+++ b/rehearser/verifier.go
@@ -53,9 +53,9 @@
 	// starts after maxCrashes of them, and jobCrashes the crashes of each job.
 	crashes, startsAfterCrashes map[work.Task]int
 	jobCrashes                  map[string]int
-	// downUntil holds the ends of the crashes by tasks.
-	downUntil []time.Time
-	result    Result
+	// crashTimes holds the times of the crashes by tasks, in order.
+	crashTimes []time.Time
+	result     Result
 	// earnedWorth and offeredWorth are the sums of the worth of answers and of
 	// jobs, by route, and settledWorth are those of Result.SettledWorthByRoute.
 	earnedWorth  map[string]float64
@@ -223,9 +223,25 @@
 	v.crashes[run.Task]++
 	v.jobCrashes[run.Job]++
 	v.result.JobCrashes = max(v.result.JobCrashes, v.jobCrashes[run.Job])
-	v.downUntil = slices.DeleteFunc(v.downUntil, func(until time.Time) bool { return !at.Before(until) })
-	v.downUntil = append(v.downUntil, at.Add(crashDowntime))
-	v.result.MostDown = max(v.result.MostDown, len(v.downUntil))
+	v.crashTimes = append(v.crashTimes, at)
+}
+
+// countDown sets the largest numbers of minions that were down at the same time,
+// which change with crashes only.
+func (v *verifier) countDown() {
+	settled := v.world.start.Add(v.world.day.DeadlyWork.At + settlingTime)
+	for _, at := range append([]time.Time{settled}, v.crashTimes...) {
+		down := 0
+		for _, crashedAt := range v.crashTimes {
+			if !crashedAt.After(at) && at.Sub(crashedAt) < crashDowntime {
+				down++
+			}
+		}
+		v.result.MostDown = max(v.result.MostDown, down)
+		if !at.Before(settled) {
+			v.result.SettledMostDown = max(v.result.SettledMostDown, down)
+		}
+	}
 }
 
 // countStep counts a step of a core unless nothing happened in it.
@@ -321,6 +337,7 @@
 
 // finalResult computes the worth and returns the result.
 func (v *verifier) finalResult() Result {
+	v.countDown()
 	totalEarned, totalOffered := 0.0, 0.0
 	v.result.WorthByRoute, v.result.SettledWorthByRoute = make(map[string]float64), make(map[string]float64)
 	for _, name := range slices.Sorted(maps.Keys(v.offeredWorth)) { // Sums of floats depend on their order.
