scheduler: Bound what reports of crashes say, let labelled jobs pass

Found by reading: a job whose label none of the few minions of its confined route has would have been refused until the route was free; such jobs use the minions that have it (TestConfinedJobWithALabelUsesTheMinionsThatHaveIt failed before). A crash with a time in the future, of a malformed message, kept callers away for as long as a refusal may say (TestCrashInTheFutureCountsAsOneOfNow failed before).

--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -133,9 +133,10 @@
 	c.Runs = distinctTasks(c.Runs)
 	a.crashes[id] = &crash{Crash: c, recordedAt: now}
 	a.crashOrder = append(a.crashOrder, id)
-	for _, r := range c.Runs {
+	for i, r := range c.Runs {
+		c.Runs[i].Age = work.BoundedDuration(r.Age)
 		s := a.suspect(r.Run.Task)
-		s.ages[id] = work.BoundedDuration(r.Age)
+		s.ages[id] = c.Runs[i].Age
 		s.crashes++
 	}
 	if known, found := a.knownCause(c); found {
--- a/rehearser/deadly_test.go
+++ b/rehearser/deadly_test.go
@@ -11,11 +11,11 @@
 	"agatevalve/rehearser"
 )
 
-// deadlyDay returns a day of the desk on which a share of the jobs of a route is
-// deadly from 2 to 7 s.
-func deadlyDay(seed uint64, route string, share float64) rehearser.Day {
+// deadlyDay returns a day of the desk on which a share of the jobs of the shortest
+// route is deadly from 2 to 7 s.
+func deadlyDay(seed uint64, share float64) rehearser.Day {
 	day := deskDay(seed)
-	day.DeadlyWork = rehearser.DeadlyWork{Route: route, Share: share, At: 2 * time.Second, For: 5 * time.Second}
+	day.DeadlyWork = rehearser.DeadlyWork{Route: "hold", Share: share, At: 2 * time.Second, For: 5 * time.Second}
 	return day
 }
 
@@ -24,7 +24,7 @@
 func TestTaskDoesNotCrashMinionAfterMinion(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(3) {
-		day := deadlyDay(seed, "hold", 0.1)
+		day := deadlyDay(seed, 0.1)
 		day.Faults = []rehearser.Fault{{Kind: rehearser.KillEntry, At: 5 * time.Second}}
 		result := rehearser.Play(day)
 		t.Logf("%+v", result)
@@ -40,7 +40,7 @@
 		t.Run(fmt.Sprint(share), func(t *testing.T) {
 			is := is.New(t)
 			for seed := range uint64(3) {
-				result, without := rehearser.Play(deadlyDay(seed, "hold", share)), rehearser.Play(deadlyDay(seed, "hold", 0))
+				result, without := rehearser.Play(deadlyDay(seed, share)), rehearser.Play(deadlyDay(seed, 0))
 				t.Logf("%+v, without: %v", result, without.SettledWorthByRoute)
 				is.Equal(result.Violations, nil)
 				for _, route := range []string{"assign", "check"} {
@@ -58,7 +58,7 @@
 		t.Run(fmt.Sprint(share), func(t *testing.T) {
 			is := is.New(t)
 			for seed := range uint64(6) {
-				day := deadlyDay(seed, "hold", share)
+				day := deadlyDay(seed, share)
 				result := rehearser.Play(day)
 				t.Logf("%+v", result)
 				is.True(result.SettledMostDown <= len(day.DurationFactors)/3)
--- a/scheduler/bulkhead.go
+++ b/scheduler/bulkhead.go
@@ -76,6 +76,17 @@
 	othersDown bool
 }
 
+// fits reports whether any member could ever hold a task of the job. Members may
+// lack its label.
+func (p partition) fits(j *job) bool {
+	for a := range p.members {
+		if a.fits(j) {
+			return true
+		}
+	}
+	return false
+}
+
 func newBulkheads() bulkheads {
 	return bulkheads{routes: make(map[string]*bulkhead), demand: newArrivals[string](demandWindow)}
 }
@@ -106,7 +117,7 @@
 		return true
 	}
 	if c.holds(j) {
-		return p.members[a]
+		return p.members[a] || !p.fits(j)
 	}
 	return !p.members[a] || p.othersDown
 }
--- a/scheduler/bulkhead_test.go
+++ b/scheduler/bulkhead_test.go
@@ -97,6 +97,23 @@
 	is.True(len(b.agentsOf("deadly", 40)) > 6)
 }
 
+// The few minions of a confined route need not have the label of a job.
+func TestConfinedJobWithALabelUsesTheMinionsThatHaveIt(t *testing.T) {
+	is := is.New(t)
+	b := newConfinedTestbed()
+	sound := b.agentsOf("sound", 24)
+	for i := range 9 {
+		if sound[agent(i)] {
+			m := minion(i)
+			m.Incarnation, m.Labels = 100, []string{"gpu"}
+			b.step(scheduler.Reported{Agent: agent(i), Link: uint64(i + 1), Minion: &m, Usable: true})
+		}
+	}
+	labelled := b.route("deadly", "labelled")
+	labelled.Job.Label = "gpu"
+	is.Equal(len(commandsOf[scheduler.Place](b.step(labelled))), 1)
+}
+
 func TestConfinedRouteIsRefusedAtOnceWhileItsMinionsAreDown(t *testing.T) {
 	is := is.New(t)
 	b := newConfinedTestbed()
--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -18,6 +18,9 @@
 // has crashed.
 func (c *Core) recordCrashes(now time.Time, a *agent, incarnation uint64, crashes []work.Crash) {
 	for _, crash := range crashes {
+		if crash.At.After(now) {
+			crash.At = now // Of a malformed message.
+		}
 		verdicts, isNew := c.attributor.Record(now, crash)
 		if !isNew {
 			continue
--- a/scheduler/malformed_test.go
+++ b/scheduler/malformed_test.go
@@ -39,11 +39,21 @@
 		return work.Report{
 			Run:   work.Run{Task: work.Task{Job: fmt.Sprint("job-", rapid.IntRange(0, 5).Draw(t, "job")), Index: rapid.IntRange(-1, 3).Draw(t, "index")}, Number: rapid.IntRange(-1, 3).Draw(t, "number")},
 			State: work.State(rapid.IntRange(0, 9).Draw(t, "state")), Took: time.Duration(oddInt().Draw(t, "took")), Remaining: time.Duration(oddInt().Draw(t, "remaining")),
-			Reliable: rapid.Bool().Draw(t, "reliable"), Reason: work.Reason(rapid.SampledFrom([]string{"", "old", "late", "busy", "odd"}).Draw(t, "reason")), Number: uint64(oddInt().Draw(t, "report")),
+			Reliable: rapid.Bool().Draw(t, "reliable"), Reason: work.Reason(rapid.SampledFrom([]string{"", "old", "late", "busy", "odd", "crashed", "survived"}).Draw(t, "reason")), Number: uint64(oddInt().Draw(t, "report")),
 		}
 	}), 0, 4)
 }
 
+func oddCrashes(now time.Time) *rapid.Generator[[]work.Crash] {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) work.Crash {
+		crash := work.Crash{Minion: fmt.Sprint("m-", rapid.IntRange(0, 3).Draw(t, "crashed")), Incarnation: rapid.Uint64Range(0, 3).Draw(t, "incarnation"), At: now.Add(time.Duration(oddInt().Draw(t, "at")))}
+		for _, r := range oddReports().Draw(t, "at risk") {
+			crash.Runs = append(crash.Runs, work.CrashedRun{Run: r.Run, Route: "r", Age: r.Took, OnProbation: r.Reliable})
+		}
+		return crash
+	}), 0, 3)
+}
+
 // drawEvent draws an event that a malformed frame or submission may lead to.
 func drawEvent(t *rapid.T, now time.Time) scheduler.Event {
 	id := agent(rapid.IntRange(0, 3).Draw(t, "agent"))
@@ -55,9 +65,9 @@
 	load := oddLoad().Draw(t, "load")
 	switch rapid.IntRange(0, 4).Draw(t, "kind") {
 	case 0:
-		return scheduler.LinkOpened{Agent: id, Link: link, Reports: oddReports().Draw(t, "reports"), Minion: m, Usable: rapid.Bool().Draw(t, "usable"), Load: load}
+		return scheduler.LinkOpened{Agent: id, Link: link, Reports: oddReports().Draw(t, "reports"), Minion: m, Usable: rapid.Bool().Draw(t, "usable"), Load: load, Crashes: oddCrashes(now).Draw(t, "crashes")}
 	case 1:
-		return scheduler.Reported{Agent: id, Link: link, Reports: oddReports().Draw(t, "reports"), Load: &load, OrdersTaken: uint64(oddInt().Draw(t, "taken")), Minion: &m, Usable: true}
+		return scheduler.Reported{Agent: id, Link: link, Reports: oddReports().Draw(t, "reports"), Load: &load, OrdersTaken: uint64(oddInt().Draw(t, "taken")), Minion: &m, Usable: true, Crashes: oddCrashes(now).Draw(t, "crashes")}
 	case 2:
 		return scheduler.LinkClosed{Agent: id, Link: link}
 	case 3:
--- a/scheduler/returning_test.go
+++ b/scheduler/returning_test.go
@@ -51,3 +51,14 @@
 	back.Incarnation = 2
 	is.Equal(len(commandsOf[scheduler.Place](b.step(scheduler.Reported{Agent: agent(0), Link: 1, Minion: &back, Usable: true}))), 1)
 }
+
+// A time of a crash that is off would keep callers away for good.
+func TestCrashInTheFutureCountsAsOneOfNow(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(1)
+	b.advance(time.Second)
+	down := minion(0)
+	b.step(scheduler.Reported{Agent: agent(0), Link: 1, Minion: &down, Crashes: []work.Crash{{Minion: "m-0", Incarnation: 1, At: b.now.Add(time.Hour)}}})
+	answers := commandsOf[scheduler.Answer](b.step(b.submission("late", 1)))
+	is.True(answers[0].RetryAfter < 5*time.Second)
+}
