scheduler: Confine a route by the first verdict

It costs little where one job is deadly: a third of the minions, or the route's share, is mostly enough for a moment. Crashes from more than 20 s before an entry heard of them confine nothing (TestOldCrashesConfineNothing).

--- a/rehearser/agent.go
+++ b/rehearser/agent.go
@@ -72,6 +72,7 @@
 	a.world.after(downtime, func() {
 		if !a.world.now.Before(a.crashedUntil) { // A later crash may last longer.
 			a.startMinion()
+			a.sendStatus() // A minion registers when it starts.
 		}
 	})
 }
--- a/scheduler/bulkhead.go
+++ b/scheduler/bulkhead.go
@@ -12,11 +12,6 @@
 )
 
 const (
-	// bulkheadVerdicts is the number of jobs of a route that must be proved to
-	// crash minions within bulkheadWindow before the route is confined. A single
-	// one is stopped by its verdict.
-	bulkheadVerdicts = 2
-	bulkheadWindow   = 2 * time.Second
 	// bulkheadShare is the least share of a service's minions that confined routes
 	// may use. It is what the service can do without for a while.
 	bulkheadShare = 1.0 / 3
@@ -37,13 +32,11 @@
 	partitionInterval = 20 * time.Millisecond
 )
 
-// bulkhead is what this entry knows of deadly work on a route.
+// bulkhead is the state of a confined route.
 type bulkhead struct {
-	// verdicts are the times of the latest proofs of deadly work, oldest first.
-	verdicts []time.Time
-	confined bool
-	// share is the share of the minions that the route may use while it is
-	// confined.
+	// condemnedAt is the time of the latest crash that was attributed to the route.
+	condemnedAt time.Time
+	// share is the share of the minions that the route may use.
 	share float64
 	// successes counts the jobs that succeeded since the last verdict.
 	successes int
@@ -57,9 +50,8 @@
 // bulkheads confine routes with deadly work to a part of each service's minions,
 // so that other routes keep the rest.
 type bulkheads struct {
+	// routes holds the confined routes.
 	routes map[string]*bulkhead
-	// confinedCount counts the confined routes.
-	confinedCount int
 	// partitions holds, by service, the minions that confined routes may use. It is
 	// empty while none is confined.
 	partitions    map[string]partition
@@ -93,20 +85,19 @@
 
 // confines reports whether a route is confined.
 func (b *bulkheads) confines(route string) bool {
-	r := b.routes[route]
-	return r != nil && r.confined
+	return b.routes[route] != nil
 }
 
 // wantsCanary reports whether one task of a job is to be tried before the others.
 func (b *bulkheads) wantsCanary(j *job) bool {
 	r := b.routes[j.Route]
-	return r != nil && r.confined && !r.canariesFail && !j.cleared
+	return r != nil && !r.canariesFail && !j.cleared
 }
 
 // holds reports whether a job may use the minions of confined routes only.
 func (c *Core) holds(j *job) bool {
 	r := c.bulkheads.routes[j.Route]
-	return r != nil && r.confined && (r.canariesFail || !j.cleared || c.attributor.Probation(j.ID) > 0)
+	return r != nil && (r.canariesFail || !j.cleared || c.attributor.Probation(j.ID) > 0)
 }
 
 // opensTo reports whether an agent may be given work of a job, as far as the
@@ -124,37 +115,33 @@
 
 // sameSide reports whether two jobs compete for the same minions.
 func (c *Core) sameSide(j, o *job) bool {
-	return j.Service == o.Service && (c.bulkheads.confinedCount == 0 || c.holds(j) == c.holds(o))
+	return j.Service == o.Service && (len(c.bulkheads.routes) == 0 || c.holds(j) == c.holds(o))
 }
 
-// observeVerdict confines the route of a task that is proved to crash minions, if
-// it is not the only one.
-func (c *Core) observeVerdict(now time.Time, v attributor.Verdict) {
+// observeVerdict confines the route of a task that crashed a minion, unless the
+// crash is from long before this entry heard of it.
+func (c *Core) observeVerdict(now, crashedAt time.Time, v attributor.Verdict) {
+	if now.Sub(crashedAt) > releaseTimeout {
+		return
+	}
 	b := &c.bulkheads
 	r := b.routes[v.Route]
 	if r == nil {
-		r = &bulkhead{}
+		r = &bulkhead{confinedAt: now, share: math.Max(bulkheadShare, b.demand.shareOf(now, v.Route))}
 		b.routes[v.Route] = r
+		b.partitionedAt = time.Time{}
+		c.emit(RouteConfined{Route: v.Route, Share: r.share})
 	}
-	r.successes = 0
-	if r.confined && !v.OnProbation && now.Sub(r.confinedAt) > canaryGrace {
+	r.condemnedAt, r.successes = laterOf(r.condemnedAt, crashedAt), 0
+	if !v.OnProbation && now.Sub(r.confinedAt) > canaryGrace {
 		r.canariesFail = true
 	}
-	r.verdicts = append(r.verdicts, now)
-	r.verdicts = r.verdicts[max(0, len(r.verdicts)-bulkheadVerdicts):]
-	if r.confined || len(r.verdicts) < bulkheadVerdicts || now.Sub(r.verdicts[0]) > bulkheadWindow {
-		return
-	}
-	r.confined, r.confinedAt, r.share = true, now, math.Max(bulkheadShare, b.demand.shareOf(now, v.Route))
-	b.confinedCount++
-	b.partitionedAt = time.Time{}
-	c.emit(RouteConfined{Route: v.Route, Share: r.share})
 }
 
 // observeSuccess counts a job of a route that succeeded, and frees the route
 // after enough of them.
 func (c *Core) observeSuccess(now time.Time, route string) {
-	if r := c.bulkheads.routes[route]; r != nil && r.confined {
+	if r := c.bulkheads.routes[route]; r != nil {
 		if r.successes++; r.successes >= releaseProofs {
 			c.release(now, route)
 		}
@@ -166,7 +153,6 @@
 	b := &c.bulkheads
 	successes := b.routes[route].successes
 	delete(b.routes, route)
-	b.confinedCount--
 	b.partitionedAt = time.Time{}
 	c.placementDue = true
 	c.emit(RouteReleased{Route: route, Successes: successes})
@@ -176,7 +162,7 @@
 // partition divides the minions of each service while a route is confined.
 func (c *Core) partition(now time.Time) {
 	b := &c.bulkheads
-	if b.confinedCount == 0 {
+	if len(b.routes) == 0 {
 		b.partitions = nil
 		return
 	}
@@ -187,13 +173,11 @@
 	share := 0.0
 	for _, name := range slices.Sorted(maps.Keys(b.routes)) {
 		r := b.routes[name]
-		if r.confined && now.Sub(r.verdicts[len(r.verdicts)-1]) > releaseTimeout {
+		if now.Sub(r.condemnedAt) > releaseTimeout {
 			c.release(now, name)
 			return
 		}
-		if r.confined {
-			share = math.Max(share, r.share)
-		}
+		share = math.Max(share, r.share)
 	}
 	byService := make(map[string][]*agent)
 	for _, a := range c.sortedAgents {
--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -32,7 +32,7 @@
 		for _, v := range verdicts {
 			c.emit(TaskCondemned{Verdict: v})
 			if v.Kind != attributor.Recurring {
-				c.observeVerdict(now, v)
+				c.observeVerdict(now, crash.At, v)
 			}
 			if j := c.jobs[v.Task.Job]; j != nil {
 				c.condemn(now, j, v)
--- a/scheduler/crashes_test.go
+++ b/scheduler/crashes_test.go
@@ -100,3 +100,23 @@
 		}()
 	}
 }
+
+// Agents report the crashes of the last minute to an entry that starts.
+func TestOldCrashesConfineNothing(t *testing.T) {
+	is := is.New(t)
+	lost := []work.CrashedRun{{Run: work.Run{Task: work.Task{Job: "deadly"}, Number: 1}, Route: "r", Age: 20 * time.Millisecond}}
+	open := func(age time.Duration) []scheduler.RouteConfined {
+		b := newTestbed(3)
+		var out []scheduler.Command
+		for i := range 2 {
+			out = append(out, b.step(scheduler.LinkOpened{
+				Agent: agent(i), Link: uint64(10 + i), Minion: minion(i), Usable: true,
+				Crashes: []work.Crash{{Minion: minion(i).Name, At: b.now.Add(-age), Runs: lost}},
+			})...)
+		}
+		is.Equal(commandsOf[scheduler.Answer](b.step(b.submission("deadly", 1)))[0].Outcome, work.Exhausted)
+		return commandsOf[scheduler.RouteConfined](out)
+	}
+	is.Equal(len(open(5*time.Second)), 1)
+	is.Equal(len(open(40*time.Second)), 0)
+}
