supervisor: Date the crash of a silent minion by its silence

A minion that crashed silently was dated when its next incarnation reported, so entries learned a downtime of about nothing, by which refusals tell callers when to come back. TestSilentMinionThatStartsAnewHadCrashed asks for the time.

--- a/attributor/attributor_test.go
+++ b/attributor/attributor_test.go
@@ -102,8 +102,7 @@
 	is.Equal(a.Probation("suspect"), time.Duration(0))
 }
 
-// However runs are lost, a task is given up after its third crash at the latest,
-// and after its second one only if the ages are close.
+// A task is given up after its third crash at the latest, and never after its first.
 func TestTasksAreGivenUpInTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a := attributor.New()
--- a/rehearser/deadly_test.go
+++ b/rehearser/deadly_test.go
@@ -19,8 +19,6 @@
 	return day
 }
 
-// Guards against a task that crashes minion after minion, since each loss of a
-// run is followed by the next start.
 func TestTaskDoesNotCrashMinionAfterMinion(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(3) {
@@ -33,8 +31,7 @@
 	}
 }
 
-// Guards against deadly work of one route that takes the minions from all. Once
-// entries know of it, sound routes lose a twentieth at most.
+// Once entries know of the work, sound routes lose a twentieth at most.
 func TestSoundRoutesAreServedBesideDeadlyWork(t *testing.T) {
 	for _, share := range []float64{0.01, 0.1, 0.5} {
 		t.Run(fmt.Sprint(share), func(t *testing.T) {
@@ -51,8 +48,6 @@
 	}
 }
 
-// Guards against deadly work that takes more minions than the service can do
-// without, once entries know of it.
 func TestAtMostAThirdOfTheMinionsIsDownByDeadlyWork(t *testing.T) {
 	for _, share := range []float64{0.01, 0.1, 0.5} {
 		t.Run(fmt.Sprint(share), func(t *testing.T) {
--- a/rehearser/rehearser_test.go
+++ b/rehearser/rehearser_test.go
@@ -144,8 +144,7 @@
 	is.True(len(play(true)) > 0)
 }
 
-// A status report that arrives after a newer one gave a draining minion new runs,
-// and those that had shrunk runs beyond their capacity.
+// Reports that arrive after newer ones say nothing of drains and capacities.
 func TestLateStatusReportsRestoreNothing(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(3) {
--- a/scheduler/bulkhead_test.go
+++ b/scheduler/bulkhead_test.go
@@ -22,8 +22,8 @@
 
 // crashUntilCondemned submits a job of route deadly that crashes the minions of its
 // agents, which come back at once, until the job is answered.
-func (b *testbed) crashUntilCondemned(id string) {
-	placed := commandsOf[scheduler.Place](b.step(b.route("deadly", id)))
+func (b *testbed) crashUntilCondemned() {
+	placed := commandsOf[scheduler.Place](b.step(b.route("deadly", "d-1")))
 	for len(placed) > 0 {
 		p := placed[0]
 		b.now = b.now.Add(deadlyAge)
@@ -51,7 +51,7 @@
 func newConfinedTestbed() *testbed {
 	b := newTestbed(9)
 	b.agentsOf("sound", 30)
-	b.crashUntilCondemned("d-1")
+	b.crashUntilCondemned()
 	return b
 }
 
@@ -72,7 +72,7 @@
 	is := is.New(t)
 	b := newTestbed(9)
 	b.agentsOf("sound", 30)
-	b.crashUntilCondemned("d-1")
+	b.crashUntilCondemned()
 	released := 0
 	for i := range 40 {
 		for _, p := range commandsOf[scheduler.Place](b.step(b.route("deadly", fmt.Sprintf("good-%d", i)))) {
@@ -88,7 +88,7 @@
 	is := is.New(t)
 	b := newTestbed(9)
 	b.agentsOf("deadly", 3) // Says nothing of the usual share of the route.
-	b.crashUntilCondemned("d-1")
+	b.crashUntilCondemned()
 	is.True(len(b.agentsOf("deadly", 40)) <= 3)
 }
 
@@ -99,7 +99,7 @@
 	b.agentsOf("deadly", 1)
 	b.advance(6 * time.Second)
 	b.agentsOf("deadly", 30)
-	b.crashUntilCondemned("d-1")
+	b.crashUntilCondemned()
 	is.True(len(b.agentsOf("deadly", 40)) > 6)
 }
 
@@ -158,8 +158,7 @@
 	is.Equal(len(commandsOf[scheduler.RouteReleased](b.advance(10*time.Second))), 1)
 }
 
-// Once it is known how deadly work of a route crashes minions, a second crash is
-// not needed to find the job.
+// The age of known deadly work finds the job after one crash.
 func TestJobThatCrashesAMinionLikeOthersIsNotTriedAgain(t *testing.T) {
 	is := is.New(t)
 	b := newConfinedTestbed()
--- a/scheduler/returning_test.go
+++ b/scheduler/returning_test.go
@@ -10,7 +10,6 @@
 	"agatevalve/scheduler"
 )
 
-// Callers waited for their deadline while all minions were down for longer.
 func TestNothingWaitsForMinionsThatAreBackTooLate(t *testing.T) {
 	is := is.New(t)
 	b := newTestbed(1)
@@ -52,7 +51,6 @@
 	is.Equal(len(commandsOf[scheduler.Place](b.step(scheduler.Reported{Agent: agent(0), Link: 1, Minion: &back, Usable: true}))), 1)
 }
 
-// A time of a crash that is off would keep callers away for good.
 func TestCrashInTheFutureCountsAsOneOfNow(t *testing.T) {
 	is := is.New(t)
 	b := newTestbed(1)
--- a/supervisor/capacity_test.go
+++ b/supervisor/capacity_test.go
@@ -16,7 +16,6 @@
 	return supervisor.MinionDescribed{Minion: m}
 }
 
-// Entries went on to place work by the capacity of the minion's first report.
 func TestEntriesAreToldOfAChangedCapacity(t *testing.T) {
 	is := is.New(t)
 	b := newBench()
--- a/supervisor/crashes.go
+++ b/supervisor/crashes.go
@@ -45,9 +45,9 @@
 }
 
 // crashTime returns the time of a crash that is noticed now: that of the first
-// renewal that failed, since a crash breaks the connections.
+// renewal that failed, if the crash explains it.
 func (c *Core) crashTime(now time.Time) time.Time {
-	if since := c.silentSince(now); now.Sub(since) < maxCrashNotice {
+	if since := c.silentSince(now); now.Sub(since) < maxCrashNotice || len(c.minion.lapsedRuns) > 0 {
 		return since
 	}
 	return now
--- a/supervisor/crashes_test.go
+++ b/supervisor/crashes_test.go
@@ -105,6 +105,7 @@
 	found := crashes(b.step(supervisor.MinionDescribed{Minion: minion(2)}))
 	is.Equal(len(found), 1)
 	is.Equal(found[0].Runs[0].Run, run("a"))
+	is.True(b.now.Sub(found[0].At) > time.Second) // When it fell silent.
 }
 
 func TestEntryThatConnectsLearnsOfRecentCrashes(t *testing.T) {
@@ -118,7 +119,6 @@
 	is.Equal(len(snapshots[0].Crashes), 0)
 }
 
-// Of two suspects that were at the same minion in a crash, each may be the cause.
 func TestSuspectsAreOnProbationOneAtATime(t *testing.T) {
 	is := is.New(t)
 	b := newBench()
@@ -143,8 +143,6 @@
 	is.Equal(starts[0].Run, run("b"))
 }
 
-// While a crashed minion was silent, runs that it can't have started were taken
-// for suspects, all of the same age.
 func TestRunsOrderedAfterASilentCrashAreNoSuspects(t *testing.T) {
 	is := is.New(t)
 	b := newBench()
