--- a/supervisor/crashes_test.go
+++ b/supervisor/crashes_test.go
@@ -19,6 +19,16 @@
 	return b
 }
 
+// silence fails the renewals of the minion until its lease has lapsed.
+func (b *bench) silence() []supervisor.Command {
+	var out []supervisor.Command
+	for range 12 {
+		out = append(out, b.step(supervisor.FrameReceived{Entry: entry, Link: 1}, supervisor.RenewalFailed{})...)
+		out = append(out, b.advance(100*time.Millisecond)...)
+	}
+	return out
+}
+
 func crashes(commands []supervisor.Command) []work.Crash {
 	var all []work.Crash
 	for _, c := range find[supervisor.ReportCrash](commands) {
@@ -82,11 +92,7 @@
 		b := newBench()
 		b.step(b.order("a", 10_000))
 		b.step(supervisor.StartAnswered{Run: run("a"), Incarnation: 1, Answer: supervisor.StartAccepted})
-		var out []supervisor.Command
-		for range 12 {
-			out = append(out, b.step(supervisor.FrameReceived{Entry: entry, Link: 1}, supervisor.RenewalFailed{})...)
-			out = append(out, b.advance(100*time.Millisecond)...)
-		}
+		out := b.silence()
 		out = append(out, b.list(nil, nil)...) // The same incarnation answers.
 		out = append(out, b.step(supervisor.MinionDescribed{Minion: minion(2)})...)
 		is.Equal(len(crashes(out)), 0)
@@ -96,11 +102,7 @@
 func TestSilentMinionThatStartsAnewHadCrashed(t *testing.T) {
 	is := is.New(t)
 	b := newRunningBench()
-	var out []supervisor.Command
-	for range 12 {
-		out = append(out, b.step(supervisor.FrameReceived{Entry: entry, Link: 1}, supervisor.RenewalFailed{})...)
-		out = append(out, b.advance(100*time.Millisecond)...)
-	}
+	out := b.silence()
 	is.Equal(len(crashes(out)), 0) // It may be only silent.
 	found := crashes(b.step(supervisor.MinionDescribed{Minion: minion(2)}))
 	is.Equal(len(found), 1)
@@ -153,11 +155,7 @@
 	b.step(supervisor.StartAnswered{Run: run("after"), Incarnation: 1, Answer: supervisor.StartUnanswered})
 	b.step(b.order("confirmed", 1000))
 	b.step(supervisor.StartAnswered{Run: run("confirmed"), Incarnation: 1, Answer: supervisor.StartAccepted})
-	var out []supervisor.Command
-	for range 12 {
-		out = append(out, b.step(supervisor.FrameReceived{Entry: entry, Link: 1}, supervisor.RenewalFailed{})...)
-		out = append(out, b.advance(100*time.Millisecond)...)
-	}
+	out := b.silence()
 	found := crashes(append(out, b.step(supervisor.MinionDescribed{Minion: minion(2)})...))
 	is.Equal(len(found), 1)
 	is.Equal(len(found[0].Runs), 2)
