work: Add the operators' decision on evacuated zones

This adds the type and the events and commands that carry it between the store, entries and agents, without behaviour, so that the parts can be built side by side.

--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -75,6 +75,8 @@
 	Usable  bool
 	Leaving bool
 	Load    work.Load
+	// Zones is the newest decision on evacuated zones that the agent knows.
+	Zones work.Zones
 }
 
 // LinkClosed is the end of a link.
@@ -99,6 +101,9 @@
 	Minion  *work.Minion
 	Usable  bool
 	Leaving bool
+	// Zones is a newer decision on evacuated zones; its version is 0 if the message
+	// has none.
+	Zones work.Zones
 }
 
 func (ev LinkOpened) apply(c *Core, now time.Time) {
--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -21,6 +21,14 @@
 	Load    work.Load
 	// Crashes are the recent crashes of the minion, oldest first.
 	Crashes []work.Crash
+	// Zones is the newest decision on evacuated zones that the agent knows.
+	Zones work.Zones
+}
+
+// ReportZones sends an entry a newer decision on evacuated zones.
+type ReportZones struct {
+	Entry string
+	Zones work.Zones
 }
 
 // ReportRun sends an entry the state of one run.
@@ -105,6 +113,7 @@
 func (ReportRun) command()      {}
 func (ReportLoad) command()     {}
 func (ReportMinion) command()   {}
+func (ReportZones) command()    {}
 func (ReportCrash) command()    {}
 func (CutLink) command()        {}
 func (StartRun) command()       {}
--- a/supervisor/events.go
+++ b/supervisor/events.go
@@ -45,6 +45,9 @@
 	Acked  uint64
 	Orders []work.Order
 	Stops  []work.Run
+	// Zones is the newest decision on evacuated zones that the entry knows; its
+	// version is 0 if the frame has none.
+	Zones work.Zones
 }
 
 // MinionDescribed carries the minion's description of itself.
