subscriber, platform, coupler: Pass on which zones are evacuated

The feed of the configuration becomes one of the operator's whole table, and yields the configuration and the evacuated zones together. The first read and the one after a compaction give the whole table; later polls apply its changes. The subscriber keeps the newest decision, never an older one, asks other entries for it during an outage, and puts no configuration into force before it knows the zones. Links carry decisions both ways, between the cores of entries and agents; jobber and minder pass the new commands on.

TestFeedReadsRowAgainAfterCompaction is replaced by TestFeedReadsTableAgainAfterCompaction, which also checks the zones; the fakes of the subscriber's tests return zones, since the first change of a source must have them. Tests of subscriber and coupler pass with -race, of platform those of the feed and the store client.

--- a/coupler/codec.go
+++ b/coupler/codec.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -160,6 +161,18 @@
 	}
 }
 
+// zonesToWire returns nil if no decision on zones is known.
+func zonesToWire(z work.Zones) *v1.Zones {
+	if z.Version == 0 {
+		return nil
+	}
+	return &v1.Zones{Version: z.Version, Names: z.Evacuated}
+}
+
+func zonesFromWire(z *v1.Zones) work.Zones {
+	return work.Zones{Version: z.GetVersion(), Evacuated: slices.Sorted(slices.Values(z.GetNames()))}
+}
+
 // addressesFromWire decodes a list of addresses. One malformed address makes the
 // whole list invalid.
 func addressesFromWire(texts []string) ([]netip.AddrPort, error) {
--- a/coupler/coupler_test.go
+++ b/coupler/coupler_test.go
@@ -79,6 +79,9 @@
 	return client
 }
 
+// evacuated is the decision that all servers of this test know.
+var evacuated = work.Zones{Version: 8, Evacuated: []string{"a", "b"}}
+
 // newServer returns a linkPair without a client.
 func newServer(t *testing.T, name string) *linkPair {
 	p := &linkPair{entryEvents: &eventLog[scheduler.Event]{}, agentEvents: &eventLog[supervisor.Event]{}}
@@ -89,6 +92,7 @@
 		HasJob:          func(id string) bool { return id == "running" },
 		CancelJob:       func(id string) bool { return id == "running" },
 		CurrentDocument: func() subscriber.Document { return subscriber.Document{Version: 5, Content: []byte("five")} },
+		CurrentZones:    func() work.Zones { return evacuated },
 	})
 	p.httpServer = httptest.NewUnstartedServer(p.server.Handler())
 	p.httpServer.Config.Protocols = new(http.Protocols)
@@ -219,16 +223,42 @@
 	is := is.New(t)
 	p := newLinkPair(t)
 	refusing := netip.MustParseAddrPort("127.0.0.1:1")
-	document, err := coupler.FetchConfiguration(t.Context(), refusing, []netip.AddrPort{refusing, p.address}, 4)
-	is.NoErr(err)
-	is.Equal(document, subscriber.Document{Version: 5, Content: []byte("five")})
-	document, err = coupler.FetchConfiguration(t.Context(), refusing, []netip.AddrPort{p.address}, 5)
-	is.NoErr(err)
-	is.Equal(document.Version, int64(0))
-	_, err = coupler.FetchConfiguration(t.Context(), refusing, []netip.AddrPort{refusing}, 4)
+	document := subscriber.Document{Version: 5, Content: []byte("five")}
+	for _, c := range []struct {
+		known subscriber.Versions
+		want  subscriber.Change
+	}{
+		{subscriber.Versions{Document: 4}, subscriber.Change{Document: document, Zones: evacuated}},
+		{subscriber.Versions{Document: 4, Zones: 8}, subscriber.Change{Document: document}},
+		{subscriber.Versions{Document: 5, Zones: 7}, subscriber.Change{Zones: evacuated}},
+		{subscriber.Versions{Document: 5, Zones: 8}, subscriber.Change{}},
+	} {
+		change, err := coupler.FetchConfiguration(t.Context(), refusing, []netip.AddrPort{refusing, p.address}, c.known)
+		is.NoErr(err)
+		is.Equal(change, c.want)
+	}
+	_, err := coupler.FetchConfiguration(t.Context(), refusing, []netip.AddrPort{refusing}, subscriber.Versions{Document: 4})
 	is.True(err != nil)
 }
 
+// Frames that carry nothing but zones reach both cores.
+func TestZonesAreTransferred(t *testing.T) {
+	is := is.New(t)
+	p := newLinkPair(t)
+	entry := waitFor(t, p.agentEvents, func(supervisor.LinkOpened) bool { return true })
+	p.client.Send(entry.Entry, supervisor.ReportSnapshot{Entry: entry.Entry, Link: entry.Link, Minion: work.Minion{Name: "m"}, Zones: evacuated})
+	agent := waitFor(t, p.entryEvents, func(scheduler.LinkOpened) bool { return true })
+	is.Equal(agent.Zones, evacuated)
+
+	returned := work.Zones{Version: 9}
+	p.client.Send(entry.Entry, supervisor.ReportZones{Entry: entry.Entry, Zones: returned})
+	is.Equal(waitFor(t, p.entryEvents, func(scheduler.Reported) bool { return true }).Zones, returned)
+
+	p.server.Send(agent.Link, scheduler.AnnounceZones{Agent: agent.Agent, Link: agent.Link, Zones: evacuated})
+	received := waitFor(t, p.agentEvents, func(ev supervisor.FrameReceived) bool { return ev.Zones.Version > 0 })
+	is.Equal(received.Zones, evacuated)
+}
+
 func TestFindJobAtAnotherEntry(t *testing.T) {
 	is := is.New(t)
 	p := newLinkPair(t)
--- a/coupler/link.go
+++ b/coupler/link.go
@@ -13,6 +13,7 @@
 
 	"agatevalve/common/clock"
 	"agatevalve/common/ring"
+	"agatevalve/common/work"
 	"agatevalve/dialer"
 	"agatevalve/encoder"
 	"agatevalve/supervisor"
@@ -207,7 +208,7 @@
 // to EntriesReceived. It returns false once the agent has stopped.
 func (l *entryLink) handleFrame(frame *v1.RunOrders, entry string, linkNumber uint64) bool {
 	now := clock.Now()
-	ev := supervisor.FrameReceived{Entry: entry, Link: linkNumber, Acked: frame.GetAcked()}
+	ev := supervisor.FrameReceived{Entry: entry, Link: linkNumber, Acked: frame.GetAcked(), Zones: zonesFromWire(frame.GetZones())}
 	for _, s := range frame.GetStarts() {
 		order, err := orderFromWire(frame, s, now)
 		if err != nil {
@@ -271,6 +272,7 @@
 func addToFrame(frame *v1.RunReports, command supervisor.Command) bool {
 	switch c := command.(type) {
 	case supervisor.ReportSnapshot:
+		addZones(frame, c.Zones)
 		frame.Resumed = true
 		frame.Minion, frame.Leaving = minionToWire(c.Minion, c.Usable), c.Leaving
 		frame.Load = loadToWire(c.Load)
@@ -287,8 +289,17 @@
 		frame.Load, frame.Taken = loadToWire(c.Load), c.OrdersReceived
 	case supervisor.ReportCrash:
 		frame.Crashes = append(frame.Crashes, crashToWire(c.Crash, clock.Now()))
+	case supervisor.ReportZones:
+		addZones(frame, c.Zones)
 	case supervisor.ReportMinion:
 		frame.Minion, frame.Leaving = minionToWire(c.Minion, c.Usable), c.Leaving
 	}
 	return false
 }
+
+// addZones adds a decision on evacuated zones to a frame that has no newer one.
+func addZones(frame *v1.RunReports, zones work.Zones) {
+	if zones.Version > frame.GetZones().GetVersion() {
+		frame.Zones = zonesToWire(zones)
+	}
+}
--- a/coupler/peers.go
+++ b/coupler/peers.go
@@ -20,18 +20,19 @@
 // request for its configuration.
 const peerTimeout = 200 * time.Millisecond
 
-// FetchConfiguration asks entries in turn for a configuration that is newer than
-// version, and announces the address self of this entry to them. If none has a
-// newer one, it returns an empty document and the error of the last request.
-func FetchConfiguration(ctx context.Context, self netip.AddrPort, entries []netip.AddrPort, version int64) (subscriber.Document, error) {
+// FetchConfiguration asks entries in turn for a configuration or a decision on
+// evacuated zones that is newer than the known ones, and announces the address self
+// of this entry to them. If none has a newer one, it returns the empty change and
+// the error of the last request.
+func FetchConfiguration(ctx context.Context, self netip.AddrPort, entries []netip.AddrPort, known subscriber.Versions) (subscriber.Change, error) {
 	err := error(fault.New(fault.Unavailable, "check the settings of this VM", "no other entry is known"))
 	for _, address := range entries {
-		var document subscriber.Document
-		if document, err = fetchFrom(ctx, self, address, version); err == nil && document.Version > version {
-			return document, nil
+		var change subscriber.Change
+		if change, err = fetchFrom(ctx, self, address, known); err == nil && (change.Document.Version > known.Document || change.Zones.Version > known.Zones) {
+			return change, nil
 		}
 	}
-	return subscriber.Document{}, err
+	return subscriber.Change{}, err
 }
 
 // FindJob asks an entry whether it runs a job, and stops the job there if cancel
@@ -50,9 +51,9 @@
 	return response.Msg.GetKnown(), nil
 }
 
-// fetchFrom requests the configuration of one entry. The document is empty if it
-// is not newer than version.
-func fetchFrom(ctx context.Context, self, address netip.AddrPort, version int64) (subscriber.Document, error) {
+// fetchFrom requests the configuration and the zones of one entry. The change is
+// empty where they are not newer than the known ones.
+func fetchFrom(ctx context.Context, self, address netip.AddrPort, known subscriber.Versions) (subscriber.Change, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	client := dialer.New(dialer.Options{ConnectTimeout: peerTimeout})
@@ -60,12 +61,13 @@
 	service := agatevalvev1connect.NewRunServiceClient(
 		client, "http://"+address.String(), connect.WithReadMaxBytes(maxFrameBytes), dialer.WithoutCompression(),
 	)
-	response, err := service.Newest(ctx, connect.NewRequest(&v1.NewestRequest{Version: version, From: self.String()}))
+	response, err := service.Newest(ctx, connect.NewRequest(&v1.NewestRequest{Version: known.Document, ZonesVersion: known.Zones, From: self.String()}))
 	if err != nil {
-		return subscriber.Document{}, fault.Wrap(err, fault.Unavailable, "check the entry at "+address.String(), "ask for the newest configuration")
+		return subscriber.Change{}, fault.Wrap(err, fault.Unavailable, "check the entry at "+address.String(), "ask for the newest configuration")
 	}
-	if len(response.Msg.GetDocument()) == 0 {
-		return subscriber.Document{}, nil
+	change := subscriber.Change{Zones: zonesFromWire(response.Msg.GetZones())}
+	if len(response.Msg.GetDocument()) > 0 {
+		change.Document = subscriber.Document{Version: response.Msg.GetVersion(), Content: response.Msg.GetDocument()}
 	}
-	return subscriber.Document{Version: response.Msg.GetVersion(), Content: response.Msg.GetDocument()}, nil
+	return change, nil
 }
--- a/coupler/server.go
+++ b/coupler/server.go
@@ -37,6 +37,8 @@
 	EntryStarted func(netip.AddrPort)
 	// CurrentDocument returns the configuration in force.
 	CurrentDocument func() subscriber.Document
+	// CurrentZones returns the newest decision on evacuated zones.
+	CurrentZones func() work.Zones
 	// HasJob reports whether this entry runs a job. CancelJob also stops the job.
 	HasJob, CancelJob func(id string) bool
 	Log               *slog.Logger
@@ -116,8 +118,9 @@
 	}
 }
 
-// Newest answers another entry with the configuration in force, if it is newer,
-// and with the live entries. It implements RunServiceHandler.
+// Newest answers another entry with the configuration in force and the decision on
+// evacuated zones, as far as they are newer, and with the live entries. It
+// implements RunServiceHandler.
 func (s *Server) Newest(_ context.Context, request *connect.Request[v1.NewestRequest]) (*connect.Response[v1.NewestResponse], error) {
 	if address, err := netip.ParseAddrPort(request.Msg.GetFrom()); err == nil && s.options.EntryStarted != nil {
 		s.options.EntryStarted(address)
@@ -127,6 +130,9 @@
 	if document.Version > request.Msg.GetVersion() {
 		response.Document = document.Content
 	}
+	if zones := s.options.CurrentZones(); zones.Version > request.Msg.GetZonesVersion() {
+		response.Zones = zonesToWire(zones)
+	}
 	return connect.NewResponse(response), nil
 }
 
@@ -221,9 +227,10 @@
 		return scheduler.LinkOpened{
 			Agent: agent, Link: linkNumber, Reports: reports, Crashes: crashes, Minion: minionFromWire(frame.GetMinion()),
 			Usable: frame.GetMinion().GetUsable(), Leaving: frame.GetLeaving(), Load: loadFromWire(frame.GetLoad()),
+			Zones: zonesFromWire(frame.GetZones()),
 		}, nil
 	}
-	ev := scheduler.Reported{Agent: agent, Link: linkNumber, Reports: reports, Crashes: crashes}
+	ev := scheduler.Reported{Agent: agent, Link: linkNumber, Reports: reports, Crashes: crashes, Zones: zonesFromWire(frame.GetZones())}
 	if frame.GetLoad() != nil {
 		load := loadFromWire(frame.GetLoad())
 		ev.Load, ev.OrdersTaken = &load, frame.GetTaken()
@@ -232,7 +239,7 @@
 		minion := minionFromWire(frame.GetMinion())
 		ev.Minion, ev.Usable, ev.Leaving = &minion, frame.GetMinion().GetUsable(), frame.GetLeaving()
 	}
-	if len(reports)+len(crashes) == 0 && ev.Load == nil && ev.Minion == nil {
+	if len(reports)+len(crashes) == 0 && ev.Load == nil && ev.Minion == nil && ev.Zones.Version == 0 {
 		return nil, nil
 	}
 	return ev, nil
@@ -282,6 +289,10 @@
 			orders = append(orders, c.Order)
 		case scheduler.Stop:
 			frame.Stops = append(frame.Stops, runToWire(c.Run))
+		case scheduler.AnnounceZones:
+			if c.Zones.Version > frame.GetZones().GetVersion() {
+				frame.Zones = zonesToWire(c.Zones)
+			}
 		}
 	}
 	ordersToWire(frame, orders, clock.Now())
--- a/jobber/jobber.go
+++ b/jobber/jobber.go
@@ -241,6 +241,8 @@
 		j.options.Send(c.Link, c)
 	case scheduler.Acknowledge:
 		j.options.Send(c.Link, c)
+	case scheduler.AnnounceZones:
+		j.options.Send(c.Link, c)
 	case scheduler.Answer:
 		j.answer(c)
 	case scheduler.CrashRecorded:
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"agatevalve/common/work"
 	"agatevalve/coupler"
 	"agatevalve/finder"
 	"agatevalve/jobber"
@@ -79,12 +80,15 @@
 	})
 	e.linkServer = coupler.NewServer(coupler.ServerOptions{
 		Self: e.self, Enqueue: e.jobs.Enqueue, Entries: e.knownEntries,
-		CurrentDocument: func() subscriber.Document { return e.subscriber.Document() }, EntryStarted: e.addPeer, Log: e.log,
+		CurrentDocument: func() subscriber.Document { return e.subscriber.Document() },
+		CurrentZones:    func() work.Zones { return e.subscriber.Zones() }, EntryStarted: e.addPeer, Log: e.log,
 		HasJob: e.jobs.Known, CancelJob: e.jobs.Cancel,
 	})
 	store := platform.NewStoreClient(s.StoreAddress)
 	e.subscriber = subscriber.New(subscriber.Options{
-		Source: platform.NewConfigurationFeed(store), Compile: platform.Compile, FetchNewer: e.fetchConfiguration, Log: e.log, Metrics: e.metrics,
+		Source: platform.NewOperatorFeed(store, e.log), Compile: platform.Compile, FetchNewer: e.fetchConfiguration,
+		ZonesChanged: func(zones work.Zones) { e.jobs.Enqueue(scheduler.ZonesChanged{Zones: zones}) },
+		Log:          e.log, Metrics: e.metrics,
 	})
 	if _, err := e.serve("links", s.LinkAddress(s.Address), e.linkServer.Handler()); err != nil {
 		return err
@@ -160,12 +164,13 @@
 }
 
 // announce makes this entry known to its peers, which send its address to all
-// agents. It requests a configuration newer than any, so that none is returned.
+// agents. It requests what is newer than any version, so that nothing is returned.
 func (e *entryProcess) announce(peers []netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 	defer cancel()
+	newest := subscriber.Versions{Document: math.MaxInt64, Zones: math.MaxUint64}
 	for _, a := range peers {
-		if _, err := coupler.FetchConfiguration(ctx, e.settings.LinkAddress(e.settings.Address), []netip.AddrPort{a}, math.MaxInt64); err != nil {
+		if _, err := coupler.FetchConfiguration(ctx, e.settings.LinkAddress(e.settings.Address), []netip.AddrPort{a}, newest); err != nil {
 			e.log.Info("launcher: Could not announce this entry to another", "address", a, "error", err)
 		}
 	}
@@ -175,9 +180,9 @@
 // its peers. The caller must not change them.
 func (e *entryProcess) knownEntries() []netip.AddrPort { return *e.entries.Load() }
 
-// fetchConfiguration asks other entries, in random order, for a configuration that
-// is newer than version.
-func (e *entryProcess) fetchConfiguration(ctx context.Context, version int64) (subscriber.Document, error) {
+// fetchConfiguration asks other entries, in random order, for a configuration or
+// zones that are newer than the known ones.
+func (e *entryProcess) fetchConfiguration(ctx context.Context, known subscriber.Versions) (subscriber.Change, error) {
 	var peers []netip.AddrPort
 	for _, a := range slices.Concat(e.knownEntries(), *e.seeds.Load()) {
 		if a.Addr() != e.settings.Address && !slices.Contains(peers, a) {
@@ -185,7 +190,7 @@
 		}
 	}
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	return coupler.FetchConfiguration(ctx, e.settings.LinkAddress(e.settings.Address), peers, version)
+	return coupler.FetchConfiguration(ctx, e.settings.LinkAddress(e.settings.Address), peers, known)
 }
 
 // ready reports whether this entry can serve callers: it has a configuration and
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -220,6 +220,8 @@
 		m.options.Send(c.Entry, c)
 	case supervisor.ReportLoad:
 		m.options.Send(c.Entry, c)
+	case supervisor.ReportZones:
+		m.options.Send(c.Entry, c)
 	case supervisor.ReportCrash:
 		m.options.Send(c.Entry, c)
 	case supervisor.ReportMinion:
--- a/subscriber/fuzz_test.go
+++ b/subscriber/fuzz_test.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 	"pgregory.net/rapid"
 
+	"agatevalve/common/work"
 	"agatevalve/subscriber"
 )
 
@@ -70,21 +71,27 @@
 	entry   int
 }
 
+// changeAt returns what a store or an entry with a version has: the version is that
+// of the zones too.
+func changeAt(version int64) subscriber.Change {
+	return subscriber.Change{Document: subscriber.Document{Version: version}, Zones: work.Zones{Version: uint64(version)}}
+}
+
 // Next implements subscriber.Source.
-func (s entrySource) Next(context.Context) (subscriber.Document, error) {
+func (s entrySource) Next(context.Context) (subscriber.Change, error) {
 	time.Sleep(20 * time.Millisecond)
 	s.cluster.mu.Lock()
 	defer s.cluster.mu.Unlock()
 	if s.cluster.cutOff[s.entry] {
-		return subscriber.Document{}, errors.New("away")
+		return subscriber.Change{}, errors.New("away")
 	}
 	if s.cluster.staleVersion > 0 {
-		return subscriber.Document{Version: s.cluster.staleVersion}, nil
+		return changeAt(s.cluster.staleVersion), nil
 	}
-	return subscriber.Document{Version: s.cluster.version}, nil
+	return changeAt(s.cluster.version), nil
 }
 
-func (s entrySource) ask(_ context.Context, version int64) (subscriber.Document, error) {
+func (s entrySource) ask(_ context.Context, known subscriber.Versions) (subscriber.Change, error) {
 	time.Sleep(3 * time.Millisecond)
 	for i := range entryCount {
 		s.cluster.mu.Lock()
@@ -93,11 +100,11 @@
 		if i == s.entry || unreachable {
 			continue
 		}
-		if d := other.Document(); d.Version > version {
-			return d, nil
+		if d, z := other.Document(), other.Zones(); d.Version > known.Document || z.Version > known.Zones {
+			return subscriber.Change{Document: d, Zones: z}, nil
 		}
 	}
-	return subscriber.Document{}, errors.New("no newer version")
+	return subscriber.Change{}, errors.New("no newer version")
 }
 
 func (c *cluster) apply(e event) {
@@ -189,6 +196,9 @@
 		}
 		for i, s := range c.entries {
 			version := s.Document().Version
+			if zones := s.Zones().Version; int64(zones) < version {
+				return fmt.Sprintf("entry %d has configuration %d with the zones of version %d", i, version, zones)
+			}
 			if version < adopted[i] {
 				return fmt.Sprintf("entry %d replaced version %d by the older %d", i, adopted[i], version)
 			}
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -1,18 +1,21 @@
-// Package subscriber keeps the newest configuration in force at an entry of the
-// platform, where the operator writes it to the metadata store and not to
-// agatevalve's own tables. It watches the store, and asks other entries while the
-// store fails. A configuration is never replaced by an older one.
+// Package subscriber keeps the newest configuration and the newest decision on
+// evacuated zones at an entry of the platform, where the operator writes them to
+// the metadata store and not to agatevalve's own tables. It watches the store, and
+// asks other entries while the store fails. Neither is ever replaced by an older
+// one, and no configuration is in force before the evacuated zones are known.
 package subscriber
 
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
+	"agatevalve/common/work"
 	"agatevalve/router"
 )
 
@@ -43,11 +46,26 @@
 	MaxBodyBytes int64
 }
 
-// Source watches the operator's document.
+// Change is what the operator has changed.
+type Change struct {
+	// Document is the current configuration, or empty if it has not changed.
+	Document Document
+	// Zones is the current decision on evacuated zones. Its version is 0 if it has
+	// not changed.
+	Zones work.Zones
+}
+
+// Versions are the versions that an entry has; 0 for what it does not have.
+type Versions struct {
+	Document int64
+	Zones    uint64
+}
+
+// Source watches what the operator writes.
 type Source interface {
-	// Next waits some time for a change. It returns the current document, or an
-	// empty one if there was no change.
-	Next(ctx context.Context) (Document, error)
+	// Next waits some time for a change, and returns the empty one if there was
+	// none. The first change has the evacuated zones.
+	Next(ctx context.Context) (Change, error)
 }
 
 // Options are the dependencies of a Subscriber.
@@ -55,11 +73,15 @@
 	Source Source
 	// Compile validates a document and compiles it.
 	Compile func(Document) (Configuration, error)
-	// FetchNewer requests a document with a higher version from other entries. It
-	// may return an empty one; a nil FetchNewer disables these requests.
-	FetchNewer func(ctx context.Context, version int64) (Document, error)
-	Log        *slog.Logger
-	Metrics    metrics.Registry
+	// FetchNewer requests what is newer than the known versions from other entries.
+	// It may return the empty change; a nil FetchNewer disables these requests.
+	FetchNewer func(ctx context.Context, known Versions) (Change, error)
+	// ZonesChanged is called with each newer decision on evacuated zones, in order
+	// and before a configuration that came with it is in force. It may be nil, and
+	// must not call the subscriber.
+	ZonesChanged func(work.Zones)
+	Log          *slog.Logger
+	Metrics      metrics.Registry
 }
 
 // activeConfiguration is a configuration in force and its document.
@@ -72,14 +94,21 @@
 type Subscriber struct {
 	options    Options
 	current    atomic.Pointer[activeConfiguration]
+	zones      atomic.Pointer[work.Zones]
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
 
 	mu sync.Mutex
 	// lastSuccess is the time of the last successful read of the source.
 	lastSuccess time.Time
+	// zonesMu is held while zones is replaced and ZonesChanged called.
+	zonesMu sync.Mutex
 
 	adopted, refused, failed metrics.Counter
+	// zonesChanged counts decisions that differ from the one before, and evacuated
+	// is the number of zones that are evacuated.
+	zonesChanged metrics.Counter
+	evacuated    metrics.Gauge
 }
 
 // New starts a subscriber. It has no configuration until the first read succeeds.
@@ -90,6 +119,9 @@
 		adopted: metrics.GetOrRegisterCounter("configurations-adopted", o.Metrics),
 		refused: metrics.GetOrRegisterCounter("configurations-refused", o.Metrics),
 		failed:  metrics.GetOrRegisterCounter("configuration-reads-failed", o.Metrics),
+
+		zonesChanged: metrics.GetOrRegisterCounter("zones-changed", o.Metrics),
+		evacuated:    metrics.GetOrRegisterGauge("zones-evacuated", o.Metrics),
 	}
 	s.goroutines.Go(func() { s.followSource(ctx) })
 	s.goroutines.Go(func() { s.followPeers(ctx) })
@@ -105,6 +137,15 @@
 	return Document{}
 }
 
+// Zones returns the newest decision on evacuated zones. Its version is 0 if none
+// is known yet.
+func (s *Subscriber) Zones() work.Zones {
+	if z := s.zones.Load(); z != nil {
+		return *z
+	}
+	return work.Zones{}
+}
+
 // Configuration returns the configuration in force, and false if there is none
 // yet.
 func (s *Subscriber) Configuration() (Configuration, bool) {
@@ -120,11 +161,11 @@
 	s.goroutines.Wait()
 }
 
-// followSource adopts the documents of the source until ctx ends.
+// followSource adopts the changes of the source until ctx ends.
 func (s *Subscriber) followSource(ctx context.Context) {
 	failing := false
 	for ctx.Err() == nil {
-		document, err := s.options.Source.Next(ctx)
+		change, err := s.options.Source.Next(ctx)
 		if ctx.Err() != nil {
 			return
 		}
@@ -144,11 +185,11 @@
 		s.mu.Lock()
 		s.lastSuccess = time.Now()
 		s.mu.Unlock()
-		s.adopt(document, "store")
+		s.adopt(change, "store")
 	}
 }
 
-// followPeers adopts documents of other entries while the source fails.
+// followPeers adopts changes from other entries while the source fails.
 func (s *Subscriber) followPeers(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, peerInterval)
@@ -159,19 +200,48 @@
 			continue
 		}
 		peerContext, cancel := context.WithTimeout(ctx, peerTimeout)
-		document, err := s.options.FetchNewer(peerContext, s.Document().Version)
+		change, err := s.options.FetchNewer(peerContext, Versions{Document: s.Document().Version, Zones: s.Zones().Version})
 		cancel()
 		if err != nil {
 			s.options.Log.Debug("subscriber: No other entry answered", "error", err)
 			continue
 		}
-		s.adopt(document, "entry")
+		s.adopt(change, "entry")
+	}
+}
+
+// adopt adopts the zones of a change and then its document. Both goroutines may
+// call it at the same time.
+func (s *Subscriber) adopt(change Change, from string) {
+	s.adoptZones(change.Zones, from)
+	if s.zones.Load() == nil {
+		return // With a configuration, the entry would place work in evacuated zones.
+	}
+	s.adoptDocument(change.Document, from)
+}
+
+// adoptZones replaces the decision on evacuated zones by a newer one.
+func (s *Subscriber) adoptZones(zones work.Zones, from string) {
+	s.zonesMu.Lock()
+	defer s.zonesMu.Unlock()
+	previous := s.Zones()
+	if !zones.NewerThan(previous) {
+		return
+	}
+	s.zones.Store(&zones)
+	if previous.Version == 0 || !slices.Equal(zones.Evacuated, previous.Evacuated) {
+		s.zonesChanged.Inc(1)
+		s.evacuated.Update(int64(len(zones.Evacuated)))
+		s.options.Log.Info("subscriber: The evacuated zones changed", "version", zones.Version, "from", from, "evacuated", zones.Evacuated)
+	}
+	if s.options.ZonesChanged != nil {
+		s.options.ZonesChanged(zones)
 	}
 }
 
-// adopt puts a document into force if it is valid and newer than the current
-// one. Both goroutines may call it at the same time.
-func (s *Subscriber) adopt(document Document, from string) {
+// adoptDocument puts a document into force if it is valid and newer than the
+// current one.
+func (s *Subscriber) adoptDocument(document Document, from string) {
 	if document.Version == 0 || document.Version <= s.Document().Version {
 		return
 	}
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,14 +13,17 @@
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
+	"agatevalve/common/work"
 	"agatevalve/router"
 	"agatevalve/subscriber"
 )
 
-// fakeSource is a store with one document, which can be made unavailable.
+// fakeSource is a store with one document and a set of evacuated zones, which can
+// be made unavailable.
 type fakeSource struct {
 	mu          sync.Mutex
 	version     int64
+	zones       work.Zones
 	unavailable bool
 }
 
@@ -29,15 +33,21 @@
 	s.version, s.unavailable = version, unavailable
 }
 
+func (s *fakeSource) setZones(zones work.Zones) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.zones = zones
+}
+
 // Next implements subscriber.Source.
-func (s *fakeSource) Next(context.Context) (subscriber.Document, error) {
+func (s *fakeSource) Next(context.Context) (subscriber.Change, error) {
 	time.Sleep(10 * time.Millisecond)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unavailable {
-		return subscriber.Document{}, errors.New("away")
+		return subscriber.Change{}, errors.New("away")
 	}
-	return subscriber.Document{Version: s.version}, nil
+	return subscriber.Change{Document: subscriber.Document{Version: s.version}, Zones: s.zones}, nil
 }
 
 // compile accepts all versions except 13.
@@ -50,7 +60,7 @@
 }
 
 // start starts a subscriber of a source; ask may be nil.
-func start(s *fakeSource, ask func(context.Context, int64) (subscriber.Document, error)) *subscriber.Subscriber {
+func start(s *fakeSource, ask func(context.Context, subscriber.Versions) (subscriber.Change, error)) *subscriber.Subscriber {
 	return subscriber.New(subscriber.Options{
 		Source: s, Compile: compile, FetchNewer: ask, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
 	})
@@ -59,7 +69,7 @@
 func TestOlderDocumentIsNotAdopted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := &fakeSource{version: 7}
+		store := &fakeSource{version: 7, zones: work.Zones{Version: 1}}
 		s := start(store, nil)
 		defer s.Close()
 		_, configured := s.Configuration()
@@ -78,7 +88,7 @@
 func TestInvalidDocumentDoesNotReplaceTheOneInForce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := &fakeSource{version: 7}
+		store := &fakeSource{version: 7, zones: work.Zones{Version: 1}}
 		s := start(store, nil)
 		defer s.Close()
 		time.Sleep(100 * time.Millisecond)
@@ -94,11 +104,11 @@
 func TestOtherEntriesAreAskedDuringStoreOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := &fakeSource{version: 7}
+		store := &fakeSource{version: 7, zones: work.Zones{Version: 1}}
 		asked := 0
-		s := start(store, func(_ context.Context, version int64) (subscriber.Document, error) {
+		s := start(store, func(_ context.Context, known subscriber.Versions) (subscriber.Change, error) {
 			asked++
-			return subscriber.Document{Version: version + 1}, nil
+			return subscriber.Change{Document: subscriber.Document{Version: known.Document + 1}}, nil
 		})
 		defer s.Close()
 		time.Sleep(3 * time.Second)
@@ -108,3 +118,58 @@
 		is.True(s.Document().Version > 7)
 	})
 }
+
+// An entry that starts during an outage gets both from another entry, and has no
+// configuration before it knows the zones.
+func TestOtherEntriesSupplyZonesWithTheConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		evacuated := work.Zones{Version: 8, Evacuated: []string{"b"}}
+		document := subscriber.Document{Version: 7}
+		var asked atomic.Int32
+		s := start(&fakeSource{unavailable: true}, func(_ context.Context, known subscriber.Versions) (subscriber.Change, error) {
+			if asked.Add(1) == 1 {
+				return subscriber.Change{Document: document}, nil
+			}
+			if known != (subscriber.Versions{}) {
+				return subscriber.Change{}, errors.New("no newer version")
+			}
+			return subscriber.Change{Document: document, Zones: evacuated}, nil
+		})
+		defer s.Close()
+		time.Sleep(600 * time.Millisecond)
+		_, configured := s.Configuration()
+		is.Equal(asked.Load(), int32(1))
+		is.True(!configured) // The first answer has no zones.
+		time.Sleep(400 * time.Millisecond)
+		_, configured = s.Configuration()
+		is.True(configured)
+		is.Equal(s.Zones(), evacuated)
+	})
+}
+
+func TestZonesAreReportedInOrderAndNeverReplacedByOlderOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store, registry := &fakeSource{version: 7}, metrics.NewRegistry()
+		var reported []work.Zones
+		s := subscriber.New(subscriber.Options{
+			Source: store, Compile: compile, Log: slog.New(slog.DiscardHandler), Metrics: registry,
+			ZonesChanged: func(z work.Zones) { reported = append(reported, z) },
+		})
+		read := func(z work.Zones) {
+			store.setZones(z)
+			time.Sleep(100 * time.Millisecond)
+		}
+		returned, evacuated, reread := work.Zones{Version: 3}, work.Zones{Version: 9, Evacuated: []string{"a", "b"}}, work.Zones{Version: 12, Evacuated: []string{"a", "b"}}
+		read(returned)
+		read(evacuated)
+		read(work.Zones{Version: 5, Evacuated: []string{"c"}}) // As in a stale read.
+		read(reread)
+		s.Close()
+		is.Equal(reported, []work.Zones{returned, evacuated, reread})
+		is.Equal(s.Zones(), reread)
+		is.Equal(registry.Get("zones-changed").(metrics.Counter).Count(), int64(2)) // The last one has the same zones.
+		is.Equal(registry.Get("zones-evacuated").(metrics.Gauge).Value(), int64(2))
+	})
+}
--- a/wire/agatevalvev1/agatevalvev1connect/runs.connect.go
+++ b/wire/agatevalvev1/agatevalvev1connect/runs.connect.go
@@ -45,7 +45,8 @@
 type RunServiceClient interface {
 	// Link carries orders to one agent for as long as both live.
 	Link(context.Context) *connect.BidiStreamForClient[agatevalvev1.RunReports, agatevalvev1.RunOrders]
-	// Newest returns the newest configuration and the entries that this entry knows of.
+	// Newest returns the newest configuration, the newest decision on zones and the
+	// entries that this entry knows of.
 	Newest(context.Context, *connect.Request[agatevalvev1.NewestRequest]) (*connect.Response[agatevalvev1.NewestResponse], error)
 	// Find tells whether this entry runs a job, and stops it when asked to.
 	Find(context.Context, *connect.Request[agatevalvev1.FindRequest]) (*connect.Response[agatevalvev1.FindResponse], error)
@@ -109,7 +110,8 @@
 type RunServiceHandler interface {
 	// Link carries orders to one agent for as long as both live.
 	Link(context.Context, *connect.BidiStream[agatevalvev1.RunReports, agatevalvev1.RunOrders]) error
-	// Newest returns the newest configuration and the entries that this entry knows of.
+	// Newest returns the newest configuration, the newest decision on zones and the
+	// entries that this entry knows of.
 	Newest(context.Context, *connect.Request[agatevalvev1.NewestRequest]) (*connect.Response[agatevalvev1.NewestResponse], error)
 	// Find tells whether this entry runs a job, and stops it when asked to.
 	Find(context.Context, *connect.Request[agatevalvev1.FindRequest]) (*connect.Response[agatevalvev1.FindResponse], error)
