scheduler, supervisor: Keep evacuated zones free of new work

Entries and agents now keep the newest decision from any source, tell each other over open links, and place and start nothing there. Jobs that wait are reviewed against the room that is left in the same step. Minions that return, or say that they are cold, get their room by a slow start at their agent, which reports what it withholds as taken.

--- a/common/work/work.go
+++ b/common/work/work.go
@@ -147,6 +147,9 @@
 	ReasonCrashed Reason = "crashed"
 	// ReasonSurvived means that a started run has survived its probation.
 	ReasonSurvived Reason = "survived"
+	// ReasonEvacuated means that the minion's zone is evacuated. The run has not
+	// started.
+	ReasonEvacuated Reason = "evacuated"
 	// ReasonMalformed means that the minion could not decode the start order.
 	ReasonMalformed Reason = "malformed"
 )
@@ -203,6 +206,9 @@
 	Sequence uint64
 	// Draining minions complete their runs and accept no new ones.
 	Draining bool
+	// ColdUntil is the time until which the minion is slow after its start; zero if
+	// it is warm. Only the agent beside the minion knows it.
+	ColdUntil time.Time
 }
 
 // Outcome is the result of a job that its caller receives.
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -28,7 +28,12 @@
 	// and leaving while the agent shuts down.
 	usable  bool
 	leaving bool
-	load    work.Load
+	// evacuated is true while the minion's zone is evacuated, and zonesVersion is
+	// the newest decision on zones that the agent was told, or told of, over the
+	// open link.
+	evacuated    bool
+	zonesVersion uint64
+	load         work.Load
 	// runs are the runs of this entry that were placed and have not ended, and
 	// totalRuntime the sum of their expected runtimes.
 	runs         map[work.Run]*task
@@ -115,9 +120,10 @@
 	if ev.Link < a.link {
 		return
 	}
-	a.link, a.disconnectedAt, a.load = ev.Link, time.Time{}, ev.Load.Bounded()
+	a.link, a.disconnectedAt, a.load, a.zonesVersion = ev.Link, time.Time{}, ev.Load.Bounded(), 0
 	c.recordCrashes(now, a, ev.Minion.Incarnation, ev.Crashes)
 	c.updateMinion(now, a, ev.Minion, ev.Usable, ev.Leaving)
+	c.observeZones(now, a, ev.Zones)
 	held := make(map[work.Run]bool, len(ev.Reports))
 	for _, report := range ev.Reports {
 		held[report.Run] = true
@@ -159,6 +165,7 @@
 	if a == nil || a.link != ev.Link {
 		return
 	}
+	c.observeZones(now, a, ev.Zones)
 	c.recordCrashes(now, a, a.minion.Incarnation, ev.Crashes)
 	for _, report := range ev.Reports {
 		c.handleReport(now, a, report)
@@ -215,7 +222,7 @@
 // acceptsWork reports whether the agent may be given work, now or after a
 // backoff.
 func (a *agent) acceptsWork() bool {
-	return a.link != 0 && a.usable && !a.leaving && !a.minion.Draining
+	return a.link != 0 && a.usable && !a.leaving && !a.minion.Draining && !a.evacuated
 }
 
 // updateMinion stores the minion's state as its agent reports it. An agent
@@ -228,6 +235,7 @@
 	}
 	m.Room = m.Room.Bounded()
 	a.minion, a.usable, a.leaving = m, usable, leaving
+	c.applyZones(a)
 	c.placementDue = true
 	if !usable {
 		return
@@ -400,6 +408,8 @@
 		a.backoffUntil = now.Add(backoffCrowded)
 	case work.ReasonBusy:
 		a.backoffUntil = now.Add(backoffBusy)
+	case work.ReasonEvacuated:
+		c.observeEvacuated(now, a)
 	}
 	c.enqueue(t)
 }
--- a/scheduler/bulkhead.go
+++ b/scheduler/bulkhead.go
@@ -181,7 +181,7 @@
 	}
 	byService := make(map[string][]*agent)
 	for _, a := range c.sortedAgents {
-		if a.link != 0 && !a.leaving && !a.minion.Draining {
+		if a.link != 0 && !a.leaving && !a.minion.Draining && !a.evacuated {
 			byService[a.minion.Service] = append(byService[a.minion.Service], a)
 		}
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -77,6 +77,7 @@
 	arrivals   arrivals[int]
 	attributor *attributor.Attributor
 	bulkheads  bulkheads
+	evacuation evacuation
 	// downtime is the expected time for which minions are down after a crash.
 	downtime time.Duration
 	commands []Command
@@ -185,6 +186,7 @@
 	c.expireJobs(now)
 	c.expireWaiting(now)
 	c.placeWaiting(now)
+	c.reviewWaiting(now)
 	return c.commands
 }
 
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -172,11 +172,17 @@
 
 // finish answers a job, stops its runs and removes its waiting tasks.
 func (c *Core) finish(now time.Time, j *job, outcome work.Outcome, reason string) {
-	delete(c.jobs, j.ID)
 	retry := time.Duration(0)
 	if outcome == work.NotRun {
 		retry = minRetryAfter
 	}
+	c.finishWithRetry(now, j, outcome, reason, retry)
+}
+
+// finishWithRetry is finish with the time after which the caller may expect free
+// capacity.
+func (c *Core) finishWithRetry(now time.Time, j *job, outcome work.Outcome, reason string, retry time.Duration) {
+	delete(c.jobs, j.ID)
 	c.emit(Answer{
 		Tickets: j.tickets, Job: j.ID, Outcome: outcome, Reason: reason, RetryAfter: retry,
 		Tasks: j.Count, Expected: j.expectedWork, Age: now.Sub(j.Arrived),
@@ -192,8 +198,17 @@
 // giveUp ends a job that can't succeed any more: as NotRun if none of its tasks
 // can have started, and as Unfinished otherwise.
 func (c *Core) giveUp(now time.Time, j *job, reason string) {
+	retry := minRetryAfter
+	if reason == reasonEvacuated {
+		retry = maxRetryAfter
+	}
+	c.giveUpWithRetry(now, j, reason, retry)
+}
+
+// giveUpWithRetry is giveUp with the Retry-After of a job that is not run.
+func (c *Core) giveUpWithRetry(now time.Time, j *job, reason string, retry time.Duration) {
 	if !j.mayHaveStarted {
-		c.finish(now, j, work.NotRun, reason)
+		c.finishWithRetry(now, j, work.NotRun, reason, retry)
 		return
 	}
 	c.finish(now, j, work.Unfinished, reason)
--- a/scheduler/moving.go
+++ b/scheduler/moving.go
@@ -159,6 +159,8 @@
 func (c *Core) giveUpReason(now time.Time, t *task, reachable bool) string {
 	j := t.job
 	switch {
+	case !c.inAgentGrace(now) && c.onlyEvacuated(j):
+		return reasonEvacuated
 	case !reachable && !c.awaitsReturn(now, j):
 		return "no minion is in reach"
 	case c.earliestStart(now, j).Add(time.Duration(minWorkFactor / maxSpeedup * float64(j.expectedWork))).After(j.Deadline):
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -235,7 +235,7 @@
 
 // available reports whether the agent may be given work now.
 func (a *agent) available(now time.Time) bool {
-	if a.link == 0 || !a.usable || a.leaving || a.minion.Draining || now.Before(a.backoffUntil) {
+	if !a.acceptsWork() || now.Before(a.backoffUntil) {
 		return false
 	}
 	return !a.ejected() || !now.Before(a.nextTrial)
--- a/scheduler/returning.go
+++ b/scheduler/returning.go
@@ -33,7 +33,7 @@
 // work, or may do so at any time.
 func (c *Core) returnTimes(now time.Time, j *job) (earliest, expected time.Time, allDown bool) {
 	for _, a := range c.sortedAgents {
-		if a.minion.Service != j.Service || !a.fits(j) || !c.opensTo(a, j) || a.leaving || a.minion.Draining {
+		if a.minion.Service != j.Service || !a.fits(j) || !c.opensTo(a, j) || a.leaving || a.minion.Draining || a.evacuated {
 			continue
 		}
 		if !a.down {
--- a/supervisor/answers.go
+++ b/supervisor/answers.go
@@ -117,6 +117,7 @@
 	report := work.Report{State: end.State, Took: now.Sub(r.startSentAt)}
 	if end.State == work.Done {
 		c.slowness.addSample(now, report.Took, r.order.Work)
+		c.slowStart.succeeded(r.order.Room.CPU)
 	}
 	c.endRun(now, r, report)
 }
--- a/supervisor/core.go
+++ b/supervisor/core.go
@@ -129,6 +129,10 @@
 
 	minion   minionState
 	slowness slownessEstimator
+	// slowStart limits the minion's room while it may be cold.
+	slowStart slowStart
+	// zones is the newest decision on evacuated zones; its version never decreases.
+	zones work.Zones
 	// crashes are the recent crashes of the minion, oldest first.
 	crashes []work.Crash
 	// answerTime estimates how long the minion takes to answer orders.
@@ -172,6 +176,7 @@
 	}
 	c.expire(now)
 	c.sendDueStops(now)
+	c.refuseEvacuated(now)
 	c.startQueued(now)
 	c.refuseExcessQueued(now)
 	c.renewLease(now)
--- a/supervisor/entry.go
+++ b/supervisor/entry.go
@@ -49,6 +49,9 @@
 	reportedLoad   work.Load
 	reportedOrders uint64
 	reportedAt     time.Time
+	// zonesVersion is the newest decision on evacuated zones that the entry knows,
+	// as far as the open link has shown.
+	zonesVersion uint64
 	// reportPending is true when the current step reports a run to the entry;
 	// the load is then sent in the same frame.
 	reportPending bool
@@ -106,9 +109,11 @@
 	return reports
 }
 
-// load returns the capacity that running and queued runs take.
-func (c *Core) load() work.Load {
+// load returns the capacity that running and queued runs take. What is withheld
+// from a cold minion counts as taken, so that all entries go by it.
+func (c *Core) load(now time.Time) work.Load {
 	l := work.Load{Running: c.allocated, Slowness: c.slowness.rounded()}
+	l.Running.CPU += c.withheldCPU(now)
 	for _, r := range c.sortedRuns {
 		if r.phase == queued {
 			l.Queued = l.Queued.Plus(r.order.Room)
@@ -124,7 +129,7 @@
 // with the number of linked entries. This bounds the load reports that an
 // entry receives from each agent, however many entries there are.
 func (c *Core) reportLoad(now time.Time) {
-	load := c.load()
+	load := c.load(now)
 	links := time.Duration(c.linkCount())
 	interval := max(minLoadInterval, links*links*loadIntervalPerEntry)
 	for _, e := range c.sortedEntries {
--- a/supervisor/events.go
+++ b/supervisor/events.go
@@ -152,10 +152,11 @@
 	}
 	e.link, e.lastFrameAt, e.retiringSince = ev.Link, now, time.Time{}
 	e.ordersReceived, e.reportedOrders = 0, 0
-	e.reportedLoad, e.reportedAt = c.load(), now
+	e.reportedLoad, e.reportedAt, e.zonesVersion = c.load(now), now, c.zones.Version
 	c.emit(ReportSnapshot{
 		Entry: ev.Entry, Link: ev.Link, Reports: c.reportsFor(ev.Entry),
 		Minion: c.minion.Minion, Usable: c.minion.usable(), Leaving: c.leaving, Load: e.reportedLoad, Crashes: slices.Clone(c.crashes),
+		Zones: c.zones,
 	})
 }
 
@@ -191,6 +192,8 @@
 		return // Received over a replaced link; the first frame of the new one has the current state.
 	}
 	e.lastFrameAt = now
+	e.zonesVersion = max(e.zonesVersion, ev.Zones.Version)
+	c.adoptZones(now, ev.Zones)
 	for len(e.unackedEnds) > 0 && e.unackedEnds[0].report.Number <= ev.Acked {
 		e.unackedEnds = e.unackedEnds[1:]
 	}
@@ -222,6 +225,8 @@
 	switch {
 	case c.leaving || !c.entry(entry).retiringSince.IsZero() || c.minion.Draining || c.minion.departed:
 		return work.ReasonLeaving
+	case c.evacuated():
+		return work.ReasonEvacuated
 	case !c.minion.usable():
 		return work.ReasonUnreachable
 	case !c.minion.Room.Holds(o.Room):
@@ -247,6 +252,9 @@
 	if m.departed || ev.Minion.Sequence < m.Sequence {
 		return
 	}
+	if ev.Minion.ColdUntil.After(now) && !m.ColdUntil.After(now) {
+		c.slowStart.begin(now, ev.Minion.ColdUntil)
+	}
 	startsDraining := ev.Minion.Draining && !m.Draining
 	changed := startsDraining || ev.Minion.Room != m.Room || !slices.Equal(ev.Minion.Labels, m.Labels)
 	m.Minion = ev.Minion
@@ -282,7 +290,10 @@
 	c.loseRunsInCrash(now)
 	c.refuseQueued(now, work.ReasonUnreachable)
 	c.minion = minionState{Minion: m, renewalInFlight: renewalInFlight, listInFlight: listInFlight}
-	c.slowness = slownessEstimator{}
+	c.slowness, c.slowStart = slownessEstimator{}, slowStart{}
+	if m.ColdUntil.After(now) {
+		c.slowStart.begin(now, m.ColdUntil)
+	}
 	c.emit(LogMessage{Text: "Began to use a minion", Minion: m})
 }
 
--- a/supervisor/scheduling.go
+++ b/supervisor/scheduling.go
@@ -40,9 +40,13 @@
 	}
 }
 
-// nextRun returns the most urgent queued run that fits now, or nil.
+// nextRun returns the most urgent queued run that fits now, or nil. An idle minion
+// runs any task, also while it is cold.
 func (c *Core) nextRun(now time.Time) *run {
 	free := c.minion.Room.Minus(c.allocated)
+	if c.allocated != (work.Room{}) {
+		free.CPU -= c.withheldCPU(now)
+	}
 	var best *run
 	for _, r := range c.sortedRuns {
 		if r.phase != queued || now.Before(r.notBefore) || !free.Holds(r.order.Room) || c.atJobLimit(r) || c.awaitsProbation(r) {
