soaker: Evacuate zones and check that nothing starts there

The soak knew no operator who evacuates a zone. Its agents are now in three zones in turn; beside the faults, one zone after another is evacuated for 1.7 to 3.7 s and taken back. A start in a zone later than a third of the required 5 s after its evacuation is a violation, unless the store, the agent or all entries were disturbed. The planted fault evacuated-starts tests the check.

--- a/soaker/agent.go
+++ b/soaker/agent.go
@@ -13,6 +13,14 @@
 	"agatevalve/platform/imitator"
 )
 
+const (
+	// agentNodeFormat is the format of agents' node names.
+	agentNodeFormat = "side-%d"
+	// minionNameFormat is the format of minions' names: the agent's index and the
+	// number of the start.
+	minionNameFormat = "m-%d-%d"
+)
+
 // agent is an agent process with its emulated minion.
 type agent struct {
 	*process
@@ -43,7 +51,7 @@
 		return err
 	}
 	a.process, err = h.startProcess(imitator.VM{
-		Node: fmt.Sprintf("side-%d", i), Zone: "a", Address: h.address(3, i), RegistryPort: registryPort, FirstPort: firstPort, Seeds: seeds,
+		Node: fmt.Sprintf(agentNodeFormat, i), Zone: zones[i%len(zones)], Address: h.address(3, i), RegistryPort: registryPort, FirstPort: firstPort, Seeds: seeds,
 		Store: store, Minion: proxyAddress,
 	}, h.options.Agent, "--on-platform")
 	if err != nil {
@@ -59,11 +67,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.minionStarts++
-	name := fmt.Sprintf("m-%d-%d", a.index, a.minionStarts)
+	name := fmt.Sprintf(minionNameFormat, a.index, a.minionStarts)
 	c := a.harness.checker
 	minion := imitator.NewMinion(&c.mu, emulator.LeasedOptions{
 		Minion: work.Minion{
-			Name: name, Incarnation: uint64(firstIncarnation + 1000*a.minionStarts), Service: imitator.Service, Zone: "a",
+			Name: name, Incarnation: uint64(firstIncarnation + 1000*a.minionStarts), Service: imitator.Service, Zone: zones[a.index%len(zones)],
 			Labels: [][]string{{"a"}, {"a", "b"}}[a.index%2], Room: work.Room{CPU: 8000, Memory: 65536},
 		},
 		DurationFactor: []float64{0.7, 1, 1.6}[a.index%3], MaxLease: time.Second,
--- a/soaker/checker.go
+++ b/soaker/checker.go
@@ -58,6 +58,11 @@
 	drainDeadlines map[string]time.Time
 	// disturbedUntil holds the time at which the last fault of each target ends.
 	disturbedUntil map[string]time.Time
+	// evacuatedAt holds the times at which the store acknowledged the evacuation of
+	// zones, or zero for those that are not evacuated.
+	evacuatedAt map[string]time.Time
+	// entries is the number of entries.
+	entries int
 	// starts counts the runs that minions started.
 	starts int
 }
@@ -95,10 +100,11 @@
 }
 
 // newChecker returns a checker without jobs.
-func newChecker() *checker {
+func newChecker(entries int) *checker {
 	return &checker{
 		startTime: time.Now(), violationCounts: make(map[string]int), jobs: make(map[string]*jobRecord), running: make(map[work.Task]placement),
 		drainDeadlines: make(map[string]time.Time), disturbedUntil: make(map[string]time.Time),
+		evacuatedAt: make(map[string]time.Time), entries: entries,
 	}
 }
 
@@ -176,6 +182,7 @@
 	}
 	c.running[run.Task] = placement{run: run, minion: minion, startedAt: at}
 	c.checkPlacement(job, minion, run)
+	c.checkZone(minion, run, at)
 }
 
 // minionCrashed records that a run has crashed its minion, which is down until a
--- a/soaker/entry.go
+++ b/soaker/entry.go
@@ -11,6 +11,9 @@
 	"agatevalve/platform/imitator"
 )
 
+// entryNodeFormat is the format of entries' node names.
+const entryNodeFormat = "front-%d"
+
 // entry is an entry process with the load balancer's state of it.
 type entry struct {
 	*process
@@ -30,7 +33,7 @@
 		return fault.Wrap(err, fault.Unavailable, "end what listens there", "open a proxy")
 	}
 	started, err := h.startProcess(imitator.VM{
-		Node: fmt.Sprintf("front-%d", i), Zone: "a", Address: address, CallersPort: callersPort, ReadinessPort: readinessPort, RegistryPort: registryPort,
+		Node: fmt.Sprintf(entryNodeFormat, i), Zone: "a", Address: address, CallersPort: callersPort, ReadinessPort: readinessPort, RegistryPort: registryPort,
 		FirstPort: firstPort, Seeds: seeds, Store: store,
 	}, h.options.Entry, "serve", "--on-platform")
 	if err != nil {
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -218,7 +218,7 @@
 	for time.Since(startTime) < h.options.FaultDuration {
 		kind := chooseWeighted(kinds, h.faultRandom.IntN(totalWeight))
 		duration := minDuration + time.Duration(h.faultRandom.Int64N(int64(maxDuration-minDuration)))
-		h.faultLog = append(h.faultLog, fmt.Sprintf("%6.3f s: %s, %s", time.Since(startTime).Seconds(), kind.name, duration))
+		h.logFault(fmt.Sprintf("%s, %s", kind.name, duration))
 		target, end := kind.inject(h, duration)
 		if until := time.Now().Add(duration); until.After(lastEnd) {
 			lastEnd = until
--- a/soaker/planted_faults.go
+++ b/soaker/planted_faults.go
@@ -27,6 +27,8 @@
 	RepeatedCrashes PlantedFault = "repeated-crashes"
 	// WrongLabels reports starts at minions without the label of the job.
 	WrongLabels PlantedFault = "wrong-labels"
+	// EvacuatedStarts reports starts in zones that were evacuated long before.
+	EvacuatedStarts PlantedFault = "evacuated-starts"
 	// MissingRoutes publishes configurations without their probe route.
 	MissingRoutes PlantedFault = "missing-routes"
 	// CutAnswers resets the connections of callers without marking a fault.
@@ -57,6 +59,10 @@
 		job.crashes[run.Index], job.startsAfterCrashes[run.Index] = maxCrashes, maxCrashes-1
 	case WrongLabels:
 		job.Label = "nowhere"
+	case EvacuatedStarts:
+		for _, zone := range zones {
+			c.evacuatedAt[zone] = at.Add(-2 * evacuationBound)
+		}
 	}
 	c.runStarted(minion, run, at)
 	switch h.options.PlantedFault {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -137,7 +138,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h := &harness{
-		options: o, faultRandom: rand.New(rand.NewPCG(o.Seed, 1)), trafficRandom: rand.New(rand.NewPCG(o.Seed, 2)), checker: newChecker(), store: imitator.NewStore(), ctx: ctx, outcomes: make(map[string]int),
+		options: o, faultRandom: rand.New(rand.NewPCG(o.Seed, 1)), trafficRandom: rand.New(rand.NewPCG(o.Seed, 2)), checker: newChecker(o.Entries), store: imitator.NewStore(), ctx: ctx, outcomes: make(map[string]int),
 	}
 	defer h.close()
 	if err := h.startAll(); err != nil {
@@ -152,7 +153,10 @@
 	background.Go(func() { h.submitJobs(trafficCtx) })
 	background.Go(func() { h.publishAndProbe(trafficCtx) })
 	go h.runPlantedFault()
+	faultCtx, endFaults := context.WithCancel(ctx)
+	background.Go(func() { h.evacuateZones(faultCtx) })
 	h.injectFaults()
+	endFaults()
 	h.mu.Lock()
 	h.faultsOver = true
 	h.mu.Unlock()
@@ -243,6 +247,13 @@
 	return fault.New(fault.Unavailable, "read the logs in "+h.options.Dir, "not all entries were ready after %s", readyTimeout)
 }
 
+// logFault records the start of a fault or an operator's action.
+func (h *harness) logFault(text string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.faultLog = append(h.faultLog, fmt.Sprintf("%6.3f s: %s", time.Since(h.checker.startTime).Seconds(), text))
+}
+
 // setMeasured marks the start or the end of measuredPeriod.
 func (h *harness) setMeasured(measured bool) {
 	h.mu.Lock()
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -64,7 +64,7 @@
 func TestSoakDetectsPlantedFaults(t *testing.T) {
 	planted := map[soaker.PlantedFault]string{
 		soaker.DoubledStarts: "twice", soaker.StrayStarts: "unasked", soaker.LostEnds: "false answer", soaker.RefusedStarts: "refused",
-		soaker.DrainedStarts: "drain", soaker.FullMinions: "limit", soaker.RepeatedCrashes: "budget", soaker.WrongLabels: "route", soaker.MissingRoutes: "config",
+		soaker.DrainedStarts: "drain", soaker.FullMinions: "limit", soaker.RepeatedCrashes: "budget", soaker.WrongLabels: "route", soaker.EvacuatedStarts: "evacuated", soaker.MissingRoutes: "config",
 		soaker.CutAnswers: "lost", soaker.DeadMinions: "recover",
 	}
 	block := 0
