--- a/minder/minder.go
+++ b/minder/minder.go
@@ -99,6 +99,8 @@
 	starts, unanswered, refused, stops, renewals, renewalsFailed metrics.Counter
 	ends                                                         map[work.State]metrics.Counter
 	startTime, runTime                                           metrics.Timer
+	// idle is 1 while no runs are held for any entry.
+	idle metrics.Gauge
 }
 
 // New starts a Minder.
@@ -132,6 +134,7 @@
 		ends:           make(map[work.State]metrics.Counter),
 		startTime:      metrics.GetOrRegisterTimer("start-order", r),
 		runTime:        metrics.GetOrRegisterTimer("run", r),
+		idle:           metrics.GetOrRegisterGauge("idle", r),
 	}
 	for state := work.Done; state <= work.Lost; state++ {
 		c.ends[state] = metrics.GetOrRegisterCounter("runs-"+state.String(), r)
@@ -191,7 +194,7 @@
 			m.execute(ctx, command)
 		}
 		clear(events)
-		m.idle.Store(m.core.Idle())
+		m.setIdle(m.core.Idle())
 		if m.core.HasTimers() {
 			timer.Reset(stepInterval)
 		} else {
@@ -200,6 +203,15 @@
 	}
 }
 
+func (m *Minder) setIdle(idle bool) {
+	m.idle.Store(idle)
+	if idle {
+		m.metrics.idle.Update(1)
+		return
+	}
+	m.metrics.idle.Update(0)
+}
+
 // execute carries out one command of the core. Orders to the minion are only
 // queued, or sent from a goroutine of their own, so that they don't delay the
 // core.
