--- a/emulator/leased.go
+++ b/emulator/leased.go
@@ -107,6 +107,9 @@
 // Drain makes the minion report itself as draining.
 func (m *LeasedMinion) Drain() { m.o.Minion.Draining = true }
 
+// SetColdUntil makes the minion report that it is slow until a time.
+func (m *LeasedMinion) SetColdUntil(until time.Time) { m.o.Minion.ColdUntil = until }
+
 // SetRoom changes the capacity. Active runs go on.
 func (m *LeasedMinion) SetRoom(now time.Time, room work.Room) {
 	m.Advance(now)
--- a/rehearser/agent.go
+++ b/rehearser/agent.go
@@ -42,11 +42,12 @@
 	a.minionIncarnation++
 	name := fmt.Sprintf("minion-%02d-%d", a.index, a.minionIncarnation)
 	a.minion = emulator.NewLeasedMinion(emulator.LeasedOptions{
-		Minion:         work.Minion{Name: name, Incarnation: uint64(a.minionIncarnation), Service: serviceName, Room: a.world.day.Room, Labels: a.labels()},
+		Minion:         work.Minion{Name: name, Incarnation: uint64(a.minionIncarnation), Service: serviceName, Zone: a.world.zoneOf(a.index), Room: a.world.day.Room, Labels: a.labels()},
 		DurationFactor: a.world.day.DurationFactors[a.index], MaxLease: maxLease, IgnoreLeaseExpiry: a.world.day.IgnoreLeaseExpiry, AllowOvercommit: a.world.day.AllowOvercommit,
 		Profile: a.world.profile,
 		OnStart: func(run work.Run, at time.Time) {
 			a.world.verifier.runStarted(name, run, at)
+			a.world.verifier.checkZone(a, run)
 			a.world.verifier.startedBy[run] = agentProcess{agent: a, incarnation: a.incarnation}
 			a.onRunChange()
 		},
@@ -175,7 +176,7 @@
 		a.send(c.Entry, func(k *link) scheduler.Event {
 			return scheduler.LinkOpened{
 				Agent: k.agentID(), Link: k.number, Reports: c.Reports, Minion: c.Minion, Usable: c.Usable, Leaving: c.Leaving, Load: c.Load,
-				Crashes: c.Crashes,
+				Crashes: c.Crashes, Zones: c.Zones,
 			}
 		})
 	case supervisor.ReportRun:
@@ -186,6 +187,10 @@
 		a.send(c.Entry, func(k *link) scheduler.Event {
 			return scheduler.Reported{Agent: k.agentID(), Link: k.number, Crashes: []work.Crash{c.Crash}}
 		})
+	case supervisor.ReportZones:
+		a.send(c.Entry, func(k *link) scheduler.Event {
+			return scheduler.Reported{Agent: k.agentID(), Link: k.number, Zones: c.Zones}
+		})
 	case supervisor.ReportLoad:
 		a.send(c.Entry, func(k *link) scheduler.Event {
 			return scheduler.Reported{Agent: k.agentID(), Link: k.number, Load: &c.Load, OrdersTaken: c.OrdersReceived}
@@ -242,7 +247,9 @@
 		delay := minLateDelay + time.Duration(a.world.random.Int64N(int64(maxLateDelay-minLateDelay)))
 		a.world.after(delay, func() {
 			if a.minion == minion {
+				a.executesLate = true
 				perform(minion)
+				a.executesLate = false
 			}
 		})
 		a.world.after(timeout, func() { answer(timeoutEvent) })
--- a/rehearser/day.go
+++ b/rehearser/day.go
@@ -92,6 +92,11 @@
 	// Labels are the labels of minions; the minions take them in turn. nil for
 	// no labels.
 	Labels [][]string
+	// Zones is the number of availability zones, which the minions take in turn; 0
+	// for none.
+	Zones int
+	// Windows are periods for which Result.Windows tells what callers got.
+	Windows []Window
 	// Trace receives a line for each command of a core. It may be nil.
 	Trace func(at time.Duration, text string)
 }
@@ -114,6 +119,8 @@
 	CutMinion   FaultKind = "cut-minion"
 	// ShrinkMinion halves the capacity of a minion.
 	ShrinkMinion FaultKind = "shrink-minion"
+	// EvacuateZone evacuates the zone of a minion.
+	EvacuateZone FaultKind = "evacuate-zone"
 )
 
 // Fault is a fault to inject.
@@ -125,6 +132,11 @@
 	// Entry and Minion are the indexes of the affected entry and minion, from
 	// 0, for kinds that have one.
 	Entry, Minion int
+	// OneEntry makes an evacuation known to Entry only; the others are cut off from
+	// the store.
+	OneEntry bool
+	// Cold is the time for which minions are slow after an evacuation.
+	Cold time.Duration
 }
 
 // Result holds the figures of a simulated day.
@@ -151,4 +163,6 @@
 	// WorthByRoute is the Worth of each route, and SettledWorthByRoute that of the
 	// jobs that arrived when deadly work had gone on for settlingTime.
 	WorthByRoute, SettledWorthByRoute map[string]float64
+	// Windows has an element for each of Day.Windows.
+	Windows []Served
 }
--- a/rehearser/faults.go
+++ b/rehearser/faults.go
@@ -23,6 +23,8 @@
 		w.after(silenceTimeout, func() { w.closeLinks(func(k *link) bool { return k.agent == a && w.now.Before(a.frozenUntil) }) })
 	case CutLink:
 		w.partitionLink(e, a, f.For)
+	case EvacuateZone:
+		w.evacuateZone(f)
 	default:
 		w.injectMinionFault(f, a)
 	}
--- a/rehearser/fuzz_test.go
+++ b/rehearser/fuzz_test.go
@@ -16,7 +16,7 @@
 var allKinds = []rehearser.FaultKind{
 	rehearser.KillEntry, rehearser.KillAgent, rehearser.FreezeEntry, rehearser.FreezeAgent, rehearser.CutLink,
 	rehearser.CrashMinion, rehearser.SlowMinion, rehearser.StallMinion, rehearser.FailMinion, rehearser.DrainMinion,
-	rehearser.CutMinion, rehearser.ShrinkMinion,
+	rehearser.CutMinion, rehearser.ShrinkMinion, rehearser.EvacuateZone,
 }
 
 // drawDay draws a small day with up to eight faults, which may overlap.
@@ -35,6 +35,7 @@
 		FailingJobShare:    rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "poison"),
 		LostAnswerShare:    rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "lost"),
 		LeavingCallerShare: rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "leave"),
+		Zones:              rapid.IntRange(1, 3).Draw(t, "zones"),
 		LateReportShare:    rapid.SampledFrom([]float64{0, 0.4}).Draw(t, "late reports"),
 	}
 	for range rapid.IntRange(2, 5).Draw(t, "minions") {
@@ -47,6 +48,9 @@
 			For:    time.Duration(rapid.IntRange(50, 3000).Draw(t, "for")) * time.Millisecond,
 			Entry:  rapid.IntRange(0, 2).Draw(t, "entry"),
 			Minion: rapid.IntRange(0, 4).Draw(t, "minion"),
+
+			OneEntry: rapid.Bool().Draw(t, "one entry"),
+			Cold:     time.Duration(rapid.SampledFrom([]int{0, 1500}).Draw(t, "cold")) * time.Millisecond,
 		})
 	}
 	return day
--- a/rehearser/node.go
+++ b/rehearser/node.go
@@ -51,6 +51,9 @@
 	})
 }
 
+// runs reports whether the process is up and not frozen.
+func (n *node[E]) runs() bool { return !n.down && !n.world.now.Before(n.frozenUntil) }
+
 // now returns the time on the clock of the process.
 func (n *node[E]) now() time.Time { return n.world.now.Add(-n.clockLag) }
 
--- a/rehearser/rehearser.go
+++ b/rehearser/rehearser.go
@@ -74,6 +74,7 @@
 	agents       []*agentNode
 	callers      map[string]*caller
 	verifier     *verifier
+	zones        zoneStore
 }
 
 // Play simulates a day.
@@ -85,7 +86,7 @@
 			return a.at.Before(b.at) || a.at.Equal(b.at) && a.sequence < b.sequence
 		}),
 	}
-	w.now = w.start
+	w.now, w.zones = w.start, zoneStore{holds: make(map[string]int), decidedAt: make(map[string]time.Time)}
 	w.verifier = newVerifier(w)
 	for i := range day.Entries {
 		w.entries = append(w.entries, newEntryNode(w, i))
@@ -131,6 +132,8 @@
 	index int
 	core  entryCore
 	links map[uint64]*link
+	// storeCutUntil is the end of a period in which the entry can't read the store.
+	storeCutUntil time.Time
 }
 
 // link is a connection between an incarnation of an entry and one of an agent.
@@ -170,6 +173,11 @@
 	// releaseRenewal sends the response to a renewal that the minion delays;
 	// nil for none.
 	releaseRenewal func()
+	// outOfTouchAt is the last time at which the agent could not learn of the
+	// evacuation of its zone.
+	outOfTouchAt time.Time
+	// executesLate is true while the minion executes an order late.
+	executesLate bool
 }
 
 func newEntryNode(w *world, index int) *entryNode {
@@ -191,6 +199,7 @@
 		e.core = scheduler.New(scheduler.Options{Random: random})
 	}
 	incarnation := e.incarnation
+	e.readZones()
 	e.stepPeriodically(incarnation)
 }
 
@@ -219,6 +228,10 @@
 		e.send(c.Link, func(entry string, number uint64) supervisor.Event {
 			return supervisor.FrameReceived{Entry: entry, Link: number, Acked: c.Acked}
 		})
+	case scheduler.AnnounceZones:
+		e.send(c.Link, func(entry string, number uint64) supervisor.Event {
+			return supervisor.FrameReceived{Entry: entry, Link: number, Zones: c.Zones}
+		})
 	case scheduler.Answer:
 		for range c.Tickets {
 			e.world.callers[c.Job].receiveAnswer(e, c.Outcome)
--- a/rehearser/verifier.go
+++ b/rehearser/verifier.go
@@ -92,6 +92,7 @@
 		crashes: make(map[work.Task]int), startsAfterCrashes: make(map[work.Task]int), jobCrashes: make(map[string]int),
 		callerLeftAt: make(map[string]time.Time), earnedWorth: make(map[string]float64), offeredWorth: make(map[string]float64),
 	}
+	v.result.Windows = make([]Served, len(w.day.Windows))
 	v.settledWorth.earned, v.settledWorth.offered = make(map[string]float64), make(map[string]float64)
 	return v
 }
@@ -270,6 +271,7 @@
 	if !c.deadly {
 		v.offer(c, c.route.Worth)
 	}
+	v.countServed(c, func(s *Served, work float64) { s.Jobs, s.Work = s.Jobs+1, s.Work+work })
 }
 
 // endAcknowledged counts a failure when the agent acknowledges the end of a
@@ -297,6 +299,7 @@
 	if !c.deadly {
 		v.offer(c, -c.route.Worth)
 	}
+	v.countServed(c, func(s *Served, work float64) { s.Jobs, s.Work = s.Jobs-1, s.Work-work })
 }
 
 // answerReceived checks and counts the answer of an entry.
@@ -320,6 +323,7 @@
 		}
 		if onTime {
 			v.result.OnTime++
+			v.countServed(c, func(s *Served, work float64) { s.OnTime, s.OnTimeWork = s.OnTime+1, s.OnTimeWork+work })
 			v.earn(c, c.route.Worth)
 		} else {
 			v.result.Late++
@@ -327,6 +331,7 @@
 		}
 	case work.NotRun:
 		v.result.Refused++
+		v.countServed(c, func(s *Served, _ float64) { s.Refused++ })
 		if v.startedJobs[c.id] && c.submissions == 1 {
 			v.violation("refused: %s was refused as not run after a start", c.id)
 		}
--- a/supervisor/events.go
+++ b/supervisor/events.go
@@ -253,7 +253,7 @@
 		return
 	}
 	if ev.Minion.ColdUntil.After(now) && !m.ColdUntil.After(now) {
-		c.slowStart.begin(now, ev.Minion.ColdUntil)
+		c.beginSlowStart(now, ev.Minion.ColdUntil)
 	}
 	startsDraining := ev.Minion.Draining && !m.Draining
 	changed := startsDraining || ev.Minion.Room != m.Room || !slices.Equal(ev.Minion.Labels, m.Labels)
@@ -292,7 +292,7 @@
 	c.minion = minionState{Minion: m, renewalInFlight: renewalInFlight, listInFlight: listInFlight}
 	c.slowness, c.slowStart = slownessEstimator{}, slowStart{}
 	if m.ColdUntil.After(now) {
-		c.slowStart.begin(now, m.ColdUntil)
+		c.beginSlowStart(now, m.ColdUntil)
 	}
 	c.emit(LogMessage{Text: "Began to use a minion", Minion: m})
 }
--- a/supervisor/slowstart.go
+++ b/supervisor/slowstart.go
@@ -4,10 +4,13 @@
 
 const (
 	// initialShare is the share of its room that a cold minion is given at first.
-	initialShare = 0.25
+	initialShare = 0.1
 	// slowStartPeriod limits the slow start of a minion that doesn't say how long
 	// it stays cold.
 	slowStartPeriod = 3 * time.Second
+	// coldSlowness is the logarithm of the factor by which runs at a cold minion are
+	// expected to take longer, before one has shown it.
+	coldSlowness = 0.7
 	// maxColdPeriod bounds the time for which a minion says that it stays cold.
 	maxColdPeriod = time.Minute
 )
@@ -43,6 +46,16 @@
 	}
 }
 
+// beginSlowStart limits the minion's room for a while, and lets the next few runs
+// show how slow it is. What it was before says little of that.
+func (c *Core) beginSlowStart(now, coldUntil time.Time) {
+	c.slowStart.begin(now, coldUntil)
+	c.slowness.samples = 0
+	if coldUntil.After(now) {
+		c.slowness.current = c.slowness.baseline + coldSlowness
+	}
+}
+
 // withheldCPU returns the free CPU of the minion that is not used while it is
 // cold.
 func (c *Core) withheldCPU(now time.Time) int64 {
--- a/supervisor/zones.go
+++ b/supervisor/zones.go
@@ -27,7 +27,7 @@
 	case c.evacuated() && !wasEvacuated:
 		c.emit(LogMessage{Text: "The zone of the minion was evacuated", Reason: strings.Join(decision.Evacuated, ", "), Count: len(c.runs), Minion: c.minion.Minion})
 	case wasEvacuated && !c.evacuated():
-		c.slowStart.begin(now, c.minion.ColdUntil)
+		c.beginSlowStart(now, c.minion.ColdUntil)
 		c.emit(LogMessage{Text: "The zone of the minion was taken back", Minion: c.minion.Minion})
 	}
 }
