relayer: Hand jobs to other entries when the processor is short

Cause: the entry's processor. Goroutines wait 50 to 520 ms for it (3 us before and after), so that the entry places by what it knew half a second ago, refuses for a backlog that is none, and loses its links.

Change: an entry measures that wait while jobs arrive, and hands a share of its jobs to others by the controlled-delay rule; they take a job only while they have processor time to spare. Jobs go over one stream for each pair of entries that needs it, which probes as links do, so that a job stops with the entry that handed it over, before its caller may submit it again.

A profile of an entry (0.9 s of samples) shows no single cost: a fifth is the core's step, a quarter reading frames of agents, a seventh serving HTTP.

--- a/common/work/work.go
+++ b/common/work/work.go
@@ -230,6 +230,16 @@
 	return names[0]
 }
 
+// ParseOutcome returns the outcome with a name, and false if there is none.
+func ParseOutcome(name string) (Outcome, bool) {
+	for o := Succeeded; o <= Cancelled; o++ {
+		if o.String() == name {
+			return o, true
+		}
+	}
+	return 0, false
+}
+
 // Job is a group of identical tasks, answered when all have ended.
 type Job struct {
 	ID string
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"agatevalve/listener"
 	"agatevalve/platform"
 	"agatevalve/registrar"
+	"agatevalve/relayer"
 	"agatevalve/scheduler"
 	"agatevalve/subscriber"
 )
@@ -35,6 +37,9 @@
 
 	jobs           *jobber.Jobber
 	linkServer     *coupler.Server
+	relayer        *relayer.Relayer
+	relayClient    *coupler.RelayClient
+	relayServer    *coupler.RelayServer
 	subscriber     *subscriber.Subscriber
 	registrar      *registrar.Registrar
 	callerListener *listener.Listener
@@ -86,7 +91,11 @@
 	e.subscriber = subscriber.New(subscriber.Options{
 		Source: platform.NewConfigurationFeed(store), Compile: platform.Compile, FetchNewer: e.fetchConfiguration, Log: e.log, Metrics: e.metrics,
 	})
-	if _, err := e.serve("links", s.LinkAddress(s.Address), e.linkServer.Handler()); err != nil {
+	e.startRelayer()
+	links := http.NewServeMux()
+	links.Handle("/", e.linkServer.Handler())
+	e.relayServer.Handle(links)
+	if _, err := e.serve("links", s.LinkAddress(s.Address), links); err != nil {
 		return err
 	}
 	if _, err := e.serve("readiness", s.ReadinessAddress, platform.NewReadinessHandler(e.ready)); err != nil {
@@ -103,7 +112,7 @@
 		return err
 	}
 	callers, err := e.serve("callers", s.CallersAddress, platform.NewJobHandler(platform.JobHandlerOptions{
-		Jobs: e.jobs, Finder: finder.New(finder.Options{
+		Jobs: e.relayer, Finder: finder.New(finder.Options{
 			Jobs: e.jobs, Others: func() []netip.AddrPort { return e.knownEntries()[1:] }, Ask: coupler.FindJob, Log: e.log,
 		}),
 		Configuration: e.subscriber.Configuration, Leaving: e.leaving.Load, Log: e.log,
@@ -204,6 +213,8 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	err := e.callerListener.Stop(ctx)
+	e.relayServer.Wait(ctx)
+	e.relayClient.Close()
 	e.subscriber.Close()
 	e.jobs.Close()
 	closed := make(chan struct{})
@@ -218,3 +229,23 @@
 	e.stopServing()
 	return err
 }
+
+// startRelayer assembles what hands jobs to other entries and takes theirs.
+func (e *entryProcess) startRelayer() {
+	e.relayClient = coupler.NewRelayClient(coupler.RelayClientOptions{Self: e.self, Log: e.log})
+	e.relayer = relayer.New(relayer.Options{
+		Jobs: e.jobs, Carrier: e.relayClient, Entries: e.knownEntries, Leaving: e.leaving.Load, ProcessorDelay: processorDelay,
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: e.log, Metrics: e.metrics,
+	})
+	e.relayServer = coupler.NewRelayServer(coupler.RelayServerOptions{
+		TakeOver: e.relayer.TakeOver, ProcessorMillis: e.settings.ProcessorMillis, Log: e.log,
+	})
+}
+
+// processorDelay returns the time that a goroutine which is ready to run waits for
+// the processor.
+func processorDelay() time.Duration {
+	yieldedAt := time.Now()
+	runtime.Gosched()
+	return time.Since(yieldedAt)
+}
--- /dev/null
+++ b/relayer/relayer.go
@@ -0,0 +1,252 @@
+package relayer
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"agatevalve/common/clock"
+	"agatevalve/common/work"
+	"agatevalve/jobber"
+)
+
+const (
+	// probeInterval is the minimum interval between two measurements of the time
+	// that work waits for the processor.
+	probeInterval = 2 * time.Millisecond
+	// logInterval is the minimum interval between two log lines on the share of
+	// jobs that are handed over.
+	logInterval = time.Second
+)
+
+// Jobs runs jobs at this entry.
+type Jobs interface {
+	// Submit runs a job and returns its result when it has ended.
+	Submit(ctx context.Context, job work.Job) jobber.Result
+	// UnstartedJobs returns the number of jobs of a route without a started task.
+	UnstartedJobs(route string) int
+	// UsableAgents returns the number of agents that accept work.
+	UsableAgents() int
+}
+
+// Carrier carries jobs to other entries.
+type Carrier interface {
+	// Carry sends a job to another entry. It returns false if the job can't be sent
+	// now. Otherwise done is called once, from any goroutine: with the result, or
+	// with taken false if the other entry did not take the job, which then has not
+	// run there.
+	Carry(peer netip.AddrPort, job work.Job, done func(result jobber.Result, taken bool)) bool
+	// Capacity returns the processor share of another entry in thousandths of a
+	// core; 0 if it has not told it.
+	Capacity(peer netip.AddrPort) int
+	// Withdraw stops a job whose callers have left.
+	Withdraw(peer netip.AddrPort, id string)
+}
+
+// Options are the dependencies of a Relayer.
+type Options struct {
+	Jobs    Jobs
+	Carrier Carrier
+	// Entries returns the addresses of the live entries; the first is this one.
+	Entries func() []netip.AddrPort
+	// Leaving reports whether this entry is shutting down.
+	Leaving func() bool
+	// ProcessorDelay measures the time that work waits for the processor.
+	ProcessorDelay func() time.Duration
+	Random         *rand.Rand
+	Log            *slog.Logger
+	Metrics        metrics.Registry
+}
+
+// Relayer runs jobs at this entry or at another one. It is safe for concurrent
+// use.
+type Relayer struct {
+	options Options
+
+	mu       sync.Mutex
+	governor Governor
+	chooser  chooser
+	// entries and peers are the addresses of the live entries and those of them
+	// that may be given jobs.
+	entries, peers []netip.AddrPort
+	// relayed holds the jobs at other entries, by id.
+	relayed map[string]*relayedJob
+	// nextProbe is the time of the next measurement.
+	nextProbe time.Time
+	// loggedAt is the time of the last log line on the share.
+	loggedAt time.Time
+	relaying bool
+
+	handedOver, refused, taken metrics.Counter
+	share                      metrics.GaugeFloat64
+}
+
+// relayedJob is a job at another entry.
+type relayedJob struct {
+	peer netip.AddrPort
+	// callers counts the callers that wait for it.
+	callers int
+	// done is closed when result and taken are set.
+	done   chan struct{}
+	result jobber.Result
+	taken  bool
+}
+
+// New returns a relayer that hands nothing over yet.
+func New(o Options) *Relayer {
+	return &Relayer{
+		options: o, relayed: make(map[string]*relayedJob), chooser: chooser{random: o.Random, states: make(map[netip.AddrPort]*peerState)},
+		handedOver: metrics.GetOrRegisterCounter("jobs-handed-over", o.Metrics),
+		refused:    metrics.GetOrRegisterCounter("jobs-not-taken", o.Metrics),
+		taken:      metrics.GetOrRegisterCounter("jobs-taken-over", o.Metrics),
+		share:      metrics.GetOrRegisterGaugeFloat64("handed-over-share", o.Metrics),
+	}
+}
+
+// UnstartedJobs returns the number of jobs of a route at this entry of which no
+// task can have started.
+func (r *Relayer) UnstartedJobs(route string) int { return r.options.Jobs.UnstartedJobs(route) }
+
+// Submit runs a job, here or at another entry, and returns its result when it has
+// ended. A job that is already at another entry is not run again.
+func (r *Relayer) Submit(ctx context.Context, job work.Job) jobber.Result {
+	r.Probe()
+	j := r.handOver(job)
+	if j == nil {
+		return r.options.Jobs.Submit(ctx, job)
+	}
+	select {
+	case <-j.done:
+		r.leave(job.ID, j)
+	case <-ctx.Done():
+		r.leave(job.ID, j)
+		return jobber.Result{Outcome: work.Unfinished, Reason: "the caller has left"}
+	}
+	if !j.taken {
+		return r.options.Jobs.Submit(ctx, job)
+	}
+	r.options.Log.Info("relayer: Answered a job that another entry ran", "job", job.ID, "entry", j.peer, "outcome", j.result.Outcome.String(),
+		"reason", j.result.Reason, "age", clock.Since(job.Arrived))
+	return j.result
+}
+
+// TakeOver runs a job that another entry hands over. It returns false at once if
+// this entry has no processor time to spare or can't run jobs.
+func (r *Relayer) TakeOver(ctx context.Context, job work.Job) (jobber.Result, bool) {
+	r.Probe()
+	r.mu.Lock()
+	takes := r.governor.Takes() && r.relayed[job.ID] == nil
+	r.mu.Unlock()
+	if !takes || r.options.Leaving() || r.options.Jobs.UsableAgents() == 0 {
+		return jobber.Result{}, false
+	}
+	r.taken.Inc(1)
+	return r.options.Jobs.Submit(ctx, job), true
+}
+
+// Probe measures the time that work waits for the processor, at most every
+// probeInterval.
+func (r *Relayer) Probe() {
+	now := clock.Now()
+	r.mu.Lock()
+	if now.Before(r.nextProbe) {
+		r.mu.Unlock()
+		return
+	}
+	r.nextProbe = now.Add(probeInterval)
+	r.mu.Unlock()
+	delay := r.options.ProcessorDelay()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now = clock.Now()
+	r.governor.Observe(now, delay)
+	share := r.governor.Share()
+	r.share.Update(share)
+	if relaying := share > 0; relaying != r.relaying && now.Sub(r.loggedAt) > logInterval {
+		r.relaying, r.loggedAt = relaying, now
+		r.options.Log.Info("relayer: The share of jobs for other entries has changed", "share", share, "delay", delay, "peers", len(r.peers))
+	}
+}
+
+// handOver sends a job to another entry if this one is short of processor time. It
+// returns nil if the job is to run here.
+func (r *Relayer) handOver(job work.Job) *relayedJob {
+	now := clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if j := r.relayed[job.ID]; j != nil {
+		j.callers++
+		return j
+	}
+	if !r.governor.HandOver() {
+		return nil
+	}
+	r.updatePeers()
+	for _, p := range r.peers {
+		r.chooser.state(p).capacity = r.options.Carrier.Capacity(p)
+	}
+	peer, found := r.chooser.choose(now, r.peers)
+	if !found {
+		return nil
+	}
+	j := &relayedJob{peer: peer, callers: 1, done: make(chan struct{})}
+	if !r.options.Carrier.Carry(peer, job, func(result jobber.Result, taken bool) { r.finish(j, result, taken) }) {
+		return nil
+	}
+	r.chooser.handedOver(peer)
+	r.relayed[job.ID] = j
+	r.handedOver.Inc(1)
+	return j
+}
+
+// finish records the result of a job at another entry.
+func (r *Relayer) finish(j *relayedJob, result jobber.Result, taken bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j.result, j.taken = result, taken
+	r.chooser.returned(clock.Now(), j.peer, taken)
+	if !taken {
+		r.refused.Inc(1)
+	}
+	close(j.done)
+}
+
+// leave removes a caller of a job. The last one withdraws a job without a result.
+func (r *Relayer) leave(id string, j *relayedJob) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if j.callers--; j.callers > 0 {
+		return
+	}
+	if r.relayed[id] == j {
+		delete(r.relayed, id)
+	}
+	select {
+	case <-j.done:
+	default:
+		r.options.Carrier.Withdraw(j.peer, id)
+	}
+}
+
+// updatePeers chooses the peers again if the list of entries has changed.
+func (r *Relayer) updatePeers() {
+	entries := r.options.Entries()
+	if slices.Equal(entries, r.entries) {
+		return
+	}
+	r.entries, r.peers = slices.Clone(entries), nearest(entries[0], entries)
+	r.chooser.forget(r.peers)
+}
+
+// Share returns the fraction of jobs that are handed over.
+func (r *Relayer) Share() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.governor.Share()
+}
