colocator: Decides whether a task waits near its data

Callers with data on a hot rack saw tasks go to other racks while room near the data was about to become free, at a constant factor of 1.5. The scheduler now asks package colocator, which learns the factor by route.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -42,6 +42,7 @@
 	return work.Job{
 		ID: s.ID, Route: plan.Route.Name, Service: plan.Pool.Name, Spec: s.Spec,
 		Count: step.Count, Room: step.Room, Label: step.Label, Rack: step.Rack, MaxPerMinion: step.MaxPerMinion, Hint: step.Hint,
+		DataWait: policy.DataWait,
 		Attempts: max(policy.Attempts, 1), Priority: policy.Priority, Stretch: policy.Stretch, Allowance: policy.Allowance,
 		Arrived: s.Arrived, Deadline: deadline(s, plan.Route.AnswerWithin),
 	}, nil
--- a/common/work/work.go
+++ b/common/work/work.go
@@ -246,6 +246,8 @@
 	MaxPerMinion int
 	// Rack is the rack where the data of the tasks is; empty for none.
 	Rack string
+	// DataWait is the route's policy for waits for that rack.
+	DataWait DataWait
 	// Hint is the caller's rough estimate of one task's duration; 0 for none.
 	Hint time.Duration
 	// Attempts is the number of failures of one task that fail the job; at
@@ -263,6 +265,16 @@
 	Deadline time.Time
 }
 
+// DataWait is the policy of a route for tasks that wait for room near their data.
+// The zero value lets none wait.
+type DataWait struct {
+	// MaxWait bounds a wait; 0 for no waits.
+	MaxWait time.Duration
+	// Weight is the weight of the time that others lose by a longer run against
+	// that of the task itself.
+	Weight float64
+}
+
 // Compare orders runs by job, task index and number.
 func Compare(a, b Run) int {
 	if n := strings.Compare(a.Job, b.Job); n != 0 {
--- a/emulator/leased.go
+++ b/emulator/leased.go
@@ -15,6 +15,10 @@
 	Room work.Room
 	// Work is the duration of the task at a minion of speed 1.
 	Work time.Duration
+	// Rack is the label of the minions near the data of the task, and RemoteFactor
+	// multiplies the duration elsewhere; empty for a task without data.
+	Rack         string
+	RemoteFactor float64
 	// Fails is true for a task that never succeeds.
 	Fails bool
 	// CrashesAfter is the time from the start of the task until it crashes the
@@ -148,6 +152,9 @@
 	if !m.o.AllowOvercommit && !m.o.Minion.Room.Minus(m.UsedRoom()).Holds(profile.Room) {
 		return supervisor.StartNoRoom
 	}
+	if profile.Rack != "" && !slices.Contains(m.o.Minion.Labels, profile.Rack) {
+		profile.Work = time.Duration(float64(profile.Work) * profile.RemoteFactor)
+	}
 	m.runs[order.Run] = &leasedRun{profile: profile, startedAt: now}
 	m.o.OnStart(order.Run, now)
 	return supervisor.StartAccepted
--- a/rehearser/callers.go
+++ b/rehearser/callers.go
@@ -53,6 +53,8 @@
 	refusals, submissions int
 	leftEarly             bool
 	alwaysFails           bool
+	// rack is the rack with the data of the job; empty for none.
+	rack string
 	// deadly is true if a task of the job crashes minions.
 	deadly bool
 }
@@ -90,9 +92,10 @@
 	count := max(1, int(float64(route.Tasks)*math.Exp(w.callerRandom.NormFloat64()*jobSigma-jobSigma*jobSigma/2)+0.5))
 	c.alwaysFails = w.callerRandom.Float64() < w.day.FailingJobShare
 	c.deadly = w.drawDeadly(route)
+	c.rack = w.drawRack(route)
 	longest := time.Duration(0)
 	for i := range count {
-		profile := emulator.TaskProfile{Room: work.Room{CPU: route.CPU, Memory: 64}, Work: time.Duration(mean * math.Exp(w.callerRandom.NormFloat64()*taskSigma)), Fails: c.alwaysFails}
+		profile := emulator.TaskProfile{Room: work.Room{CPU: route.CPU, Memory: 64}, Work: time.Duration(mean * math.Exp(w.callerRandom.NormFloat64()*taskSigma)), Fails: c.alwaysFails, Rack: c.rack, RemoteFactor: w.day.HotRack.Factor}
 		if c.deadly && (i == 0 || w.day.DeadlyWork.Wide) {
 			profile.CrashesAfter = crashDelay
 			profile.Work = max(profile.Work, minDeadlyWork)
@@ -147,7 +150,7 @@
 	c.entry, c.entryIncarnation, c.ticket = e, e.incarnation, uint64(w.lastSequence)
 	job := work.Job{
 		ID: c.id, Route: c.route.Name, Service: serviceName, Spec: "spec", Count: len(c.profiles), Room: c.profiles[0].Room, Hint: c.hint,
-		Label: c.route.Label, MaxPerMinion: c.route.MaxPerMinion,
+		Rack: c.rack, DataWait: w.day.HotRack.DataWait, Label: c.route.Label, MaxPerMinion: c.route.MaxPerMinion,
 		Attempts: maxAttempts + c.world.day.ExtraAttempts, Priority: c.route.Priority, Stretch: stretch, Allowance: allowance,
 	}
 	ticket := c.ticket
--- a/rehearser/day.go
+++ b/rehearser/day.go
@@ -47,6 +47,22 @@
 	Wide bool
 }
 
+// HotRack is a period in which some jobs of a route have their data on one rack.
+type HotRack struct {
+	Route string
+	// Rack is the label of the minions on the rack.
+	Rack string
+	// Share is the fraction of the route's jobs; 0 for none.
+	Share float64
+	// At is counted from the start of the day, and For is the duration.
+	At, For time.Duration
+	// Factor is the factor by which tasks take longer elsewhere, and KnownFactor
+	// the one that entries expect at first; 0 for the same.
+	Factor, KnownFactor float64
+	// DataWait is the policy for waits for room on the rack.
+	DataWait work.DataWait
+}
+
 // Day configures a simulation.
 type Day struct {
 	Seed    uint64
@@ -65,6 +81,8 @@
 	FailingJobShare float64
 	// DeadlyWork is the work that crashes the minions that start it.
 	DeadlyWork DeadlyWork
+	// HotRack is the work with data on one rack.
+	HotRack HotRack
 	// LostAnswerShare is the fraction of orders to minions that are executed
 	// late and whose answer is lost.
 	LostAnswerShare float64
@@ -151,4 +169,17 @@
 	// WorthByRoute is the Worth of each route, and SettledWorthByRoute that of the
 	// jobs that arrived when deadly work had gone on for settlingTime.
 	WorthByRoute, SettledWorthByRoute map[string]float64
+	// OnTimeByRoute is the fraction of the jobs of each route that were on time.
+	// OnTimeWithData is that of the jobs with data on the hot rack.
+	OnTimeByRoute  map[string]float64
+	OnTimeWithData float64
+	// RemoteStarts and NearStarts count the runs of these jobs by their place, and
+	// DataCoreSeconds is their mean use of cores per job.
+	RemoteStarts, NearStarts int
+	DataCoreSeconds          float64
+	// DataWaits counts the waits for the hot rack, DataWaitsPaid those that paid,
+	// and LateByWait the tasks that were late after one though they would have been
+	// on time elsewhere. MeanDataWait is the mean length of a wait.
+	DataWaits, DataWaitsPaid, LateByWait int
+	MeanDataWait                         time.Duration
 }
--- a/rehearser/rehearser.go
+++ b/rehearser/rehearser.go
@@ -188,7 +188,7 @@
 	e.links = make(map[uint64]*link)
 	random := rand.New(rand.NewPCG(e.world.day.Seed, uint64(e.index)+e.incarnation<<8))
 	if e.core = newBaseline(e.world.day.Policy, random); e.world.day.Policy == Agatevalve {
-		e.core = scheduler.New(scheduler.Options{Random: random})
+		e.core = scheduler.New(scheduler.Options{Random: random, RemoteDataFactor: e.world.day.HotRack.knownFactor()})
 	}
 	incarnation := e.incarnation
 	e.stepPeriodically(incarnation)
@@ -219,6 +219,8 @@
 		e.send(c.Link, func(entry string, number uint64) supervisor.Event {
 			return supervisor.FrameReceived{Entry: entry, Link: number, Acked: c.Acked}
 		})
+	case scheduler.DataWaitEnded:
+		e.world.verifier.dataWaitEnded(c)
 	case scheduler.Answer:
 		for range c.Tickets {
 			e.world.callers[c.Job].receiveAnswer(e, c.Outcome)
--- a/rehearser/verifier.go
+++ b/rehearser/verifier.go
@@ -55,6 +55,7 @@
 	jobCrashes                  map[string]int
 	// crashTimes holds the times of the crashes by tasks, in order.
 	crashTimes []time.Time
+	locality   localityFigures
 	result     Result
 	// earnedWorth and offeredWorth are the sums of the worth of answers and of
 	// jobs, by route, and settledWorth are those of Result.SettledWorthByRoute.
@@ -165,6 +166,7 @@
 		v.violation("refused: %s started at %s though its job was refused as not run", run, minion)
 	}
 	v.running[run.Task] = placement{run: run, minion: minion, startedAt: at}
+	v.countPlace(c, minion)
 }
 
 // checkPlacement checks that the minion may start the run: attempts, capacity,
@@ -255,6 +257,7 @@
 // outlive its caller by too much.
 func (v *verifier) runEnded(_ string, run work.Run, state work.State, at time.Time) {
 	if p, exists := v.running[run.Task]; exists && p.run == run {
+		v.countRun(run, state, at.Sub(p.startedAt), at)
 		delete(v.running, run.Task)
 	}
 	if state != work.Done {
@@ -267,6 +270,7 @@
 
 func (v *verifier) jobSubmitted(c *caller) {
 	v.result.Jobs++
+	v.locality.count(c, 1, 0)
 	if !c.deadly {
 		v.offer(c, c.route.Worth)
 	}
@@ -293,6 +297,7 @@
 // earn its worth.
 func (v *verifier) callerLeft(c *caller) {
 	v.result.CallersLeft++
+	v.locality.count(c, -1, 0)
 	v.callerLeftAt[c.id] = v.world.now
 	if !c.deadly {
 		v.offer(c, -c.route.Worth)
@@ -320,6 +325,7 @@
 		}
 		if onTime {
 			v.result.OnTime++
+			v.locality.count(c, 0, 1)
 			v.earn(c, c.route.Worth)
 		} else {
 			v.result.Late++
@@ -350,6 +356,7 @@
 		}
 	}
 	v.result.Worth = totalEarned / totalOffered
+	v.locality.summarize(&v.result)
 	return v.result
 }
 
--- a/router/check.go
+++ b/router/check.go
@@ -23,6 +23,9 @@
 	MaxWasteWeight = 100
 	// MaxAnswerWithin caps Route.AnswerWithin.
 	MaxAnswerWithin = time.Hour
+	// MaxDataWait and MaxDataWaitWeight cap the values of JobPolicy.DataWait.
+	MaxDataWait       = time.Minute
+	MaxDataWaitWeight = 10.0
 	// MaxSlotsPerMinion caps Pool.SlotsPerMinion.
 	MaxSlotsPerMinion = 10_000
 	// MaxQueueLimit caps Pool.QueueLimit.
@@ -137,6 +140,8 @@
 	}
 	checkRange(c, routesTable, r.Name, "waste weight", r.WasteWeight, 0, MaxWasteWeight)
 	checkRange(c, routesTable, r.Name, "answer-within", r.AnswerWithin, 0, MaxAnswerWithin)
+	checkRange(c, routesTable, r.Name, "longest wait for data", r.Jobs.DataWait.MaxWait, 0, MaxDataWait)
+	checkRange(c, routesTable, r.Name, "weight of a wait for data", r.Jobs.DataWait.Weight, 0, MaxDataWaitWeight)
 }
 
 func (c *checker) checkPool(p Pool) {
--- a/router/table.go
+++ b/router/table.go
@@ -8,6 +8,14 @@
 	"time"
 
 	"agatevalve/common/task"
+	"agatevalve/common/work"
+)
+
+const (
+	// defaultMaxDataWait is the longest wait for room near the data of a job.
+	defaultMaxDataWait = 250 * time.Millisecond
+	// defaultDataWaitWeight counts the time of others like that of the task.
+	defaultDataWaitWeight = 1.0
 )
 
 // Route directs the requests that match it to a pool.
@@ -44,6 +52,14 @@
 	// its longest task multiplied by Stretch, plus Allowance.
 	Stretch   float64
 	Allowance time.Duration
+	// DataWait configures waits for room near the data of a job.
+	DataWait work.DataWait
+}
+
+// DefaultDataWait returns the policy for routes that set none. It acts for jobs
+// with data on one rack only.
+func DefaultDataWait() work.DataWait {
+	return work.DataWait{MaxWait: defaultMaxDataWait, Weight: defaultDataWaitWeight}
 }
 
 // Pool is a group of minions that serve the same routes.
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -112,7 +112,7 @@
 	workAhead, totalWork := 0.0, 0.0
 	ownLatestStart := j.objective.Add(-j.expectedWork)
 	for _, t := range c.waiting {
-		if !c.sameSide(t.job, j) {
+		if !c.sameSide(t.job, j) || t.awaitsData() {
 			continue
 		}
 		taskWork := float64(t.job.Room.CPU) * float64(t.job.expectedWork)
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -339,9 +339,11 @@
 	t.done = true
 	a.recordSuccess()
 	c.survive(a, t)
-	t.job.observeWork(a.normalizedWork(report.Took))
+	c.observeLocality(a, t, report.Took)
+	normalizedWork := a.normalizedWork(t.job, report.Took)
+	t.job.observeWork(normalizedWork)
 	if t.job.Hint <= 0 {
-		c.estimator.learn(t.job.Route, a.normalizedWork(report.Took))
+		c.estimator.learn(t.job.Route, normalizedWork)
 	}
 	t.job.unfinishedTasks--
 	if t.job.unfinishedTasks == 0 {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -48,6 +48,10 @@
 	// MaxQueueWait is the longest expected wait at an agent for which a task is
 	// still sent to it.
 	MaxQueueWait time.Duration
+	// RemoteDataFactor is the factor by which a task is expected to take longer
+	// away from its data until more is known; 0 for the default of package
+	// colocator.
+	RemoteDataFactor float64
 	// Random spreads the choice between similar minions. It must not be nil.
 	Random *rand.Rand
 }
@@ -77,6 +81,7 @@
 	arrivals   arrivals[int]
 	attributor *attributor.Attributor
 	bulkheads  bulkheads
+	locality   locality
 	// downtime is the expected time for which minions are down after a crash.
 	downtime time.Duration
 	commands []Command
@@ -166,7 +171,7 @@
 	}
 	return &Core{
 		options: o, agents: make(map[AgentID]*agent), jobs: make(map[string]*job), estimator: newEstimator(), arrivals: newArrivals[int](arrivalWindow),
-		attributor: attributor.New(), bulkheads: newBulkheads(), downtime: defaultDowntime,
+		attributor: attributor.New(), bulkheads: newBulkheads(), locality: newLocality(o.RemoteDataFactor), downtime: defaultDowntime,
 		deadlines: heap.New(func(a, b jobDeadline) bool { return a.deadline.Before(b.deadline) }),
 	}
 }
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -28,6 +28,8 @@
 	// longestWork is the largest work observed of any task; 0 before the first
 	// observation.
 	longestWork time.Duration
+	// remoteFactor is the factor by which tasks take longer away from their data.
+	remoteFactor float64
 	// objective is the latest time at which the answer counts as on time, given
 	// the work known so far.
 	objective time.Time
@@ -96,6 +98,9 @@
 	// that was then expected at its agent.
 	order           work.Order
 	expectedRuntime time.Duration
+	// dataWait is the wait for room near the data; zero if the task doesn't wait
+	// for it.
+	dataWait dataWait
 }
 
 // Event is an input of a Core.
@@ -128,6 +133,7 @@
 	j := &job{Job: ev.Job, tickets: []uint64{ev.Ticket}, unfinishedTasks: ev.Job.Count}
 	j.expectedWork = c.estimator.estimate(ev.Job.Route, ev.Job.Hint)
 	j.setObjective(j.expectedWork)
+	j.remoteFactor = c.locality.learner.Factor(j.Route)
 	c.bulkheads.demand.add(now, j.Route, demandOf(j))
 	if reason, retry := c.checkAdmission(now, j); reason != "" {
 		c.emit(Answer{
--- a/scheduler/moving.go
+++ b/scheduler/moving.go
@@ -39,7 +39,7 @@
 // if it can't end in time.
 func (c *Core) handleProjection(now time.Time, a *agent, t *task, report work.Report) {
 	j := t.job
-	normalizedWork := a.normalizedWork(report.Took)
+	normalizedWork := a.normalizedWork(j, report.Took)
 	if report.Reliable {
 		j.observeWork(normalizedWork)
 	}
@@ -73,10 +73,10 @@
 	return time.Duration(float64(report.Took) / max(100*done, 1))
 }
 
-// normalizedWork converts a runtime at this minion to work, which is the
-// runtime at a minion of mean speed.
-func (a *agent) normalizedWork(runtime time.Duration) time.Duration {
-	return time.Duration(float64(runtime) / math.Exp(a.load.Slowness))
+// normalizedWork converts the runtime of a task of the job at this minion to
+// work, which is the runtime at a minion of mean speed near the data.
+func (a *agent) normalizedWork(j *job, runtime time.Duration) time.Duration {
+	return time.Duration(float64(runtime) / (math.Exp(a.load.Slowness) * j.remoteFactorAt(a)))
 }
 
 // earliestEnd returns the shortest time until a task of the given work would
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -40,9 +40,6 @@
 	// makes room, since a backoff ends without an event. It is below the shortest
 	// backoff.
 	placementInterval = 10 * time.Millisecond
-	// remoteDataFactor is the factor by which a task takes longer on a rack other
-	// than that of its data.
-	remoteDataFactor = 1.5
 	// lateShare is the fraction of a minion's CPU that late tasks of jobs that have
 	// not started may fill. The rest is kept for tasks that can still be on time:
 	// in an overload, late work would otherwise make all that follows late too.
@@ -73,12 +70,15 @@
 			continue
 		}
 		probation := c.probationOf(t.job)
-		a, noCandidate := c.chooseAgent(now, t, probation > 0)
+		a, noCandidate := c.chooseByLocality(now, t, probation > 0)
 		if a != nil {
 			c.place(now, t, a, probation)
 			continue
 		}
 		c.waiting = append(c.waiting, t)
+		if t.awaitsData() {
+			continue // The next tasks of the job may be better off elsewhere.
+		}
 		if noCandidate || !t.avoidsMinions() {
 			t.job.unplaceableAt = now // Tasks of one job are alike, so the next ones find no agent either.
 		}
@@ -132,8 +132,8 @@
 // that tasks can still go elsewhere. A free agent that is too slow for the task
 // is not chosen either while a faster one with a queue would still end it in
 // time.
-func (c *Core) chooseAgent(now time.Time, t *task, suspected bool) (chosen *agent, noCandidate bool) {
-	found := c.findCandidates(now, t, suspected)
+func (c *Core) chooseAgent(now time.Time, t *task, suspected bool, where scope) (chosen *agent, noCandidate bool) {
+	found := c.findCandidates(now, t, suspected, where)
 	if found.earliest == nil {
 		return nil, true
 	}
@@ -158,11 +158,11 @@
 	return !a.reservedFrom(now, t) && (!suspected || a.onProbation == nil)
 }
 
-// findCandidates evaluates all agents that may be given the task.
-func (c *Core) findCandidates(now time.Time, t *task, suspected bool) candidates {
+// findCandidates evaluates all agents in a scope that may be given the task.
+func (c *Core) findCandidates(now time.Time, t *task, suspected bool, where scope) candidates {
 	found := candidates{earliestEnd: math.MaxInt64, sufficientCost: math.Inf(1), queuedEnd: math.MaxInt64}
 	for _, a := range c.sortedAgents {
-		if !a.admits(now, t, suspected) || !c.opensTo(a, t.job) {
+		if !where.includes(a, t.job) || !a.admits(now, t, suspected) || !c.opensTo(a, t.job) {
 			continue
 		}
 		end := a.expectedEnd(t.job)
@@ -181,7 +181,8 @@
 		if !a.suffices(now, t.job, end) {
 			continue
 		}
-		if cost := a.utilization() - a.load.Slowness + utilizationJitter*c.options.Random.Float64(); cost < found.sufficientCost {
+		cost := a.utilization() - a.load.Slowness + utilizationJitter*c.options.Random.Float64() + c.locality.penalty(now, a, t.job)
+		if cost < found.sufficientCost {
 			found.sufficient, found.sufficientCost = a, cost
 		}
 	}
@@ -224,7 +225,7 @@
 	t.order = work.Order{
 		Run: t.run(), Room: t.job.Room, Label: t.job.Label, Spec: t.job.Spec, MaxPerMinion: t.job.MaxPerMinion, Priority: t.job.Priority,
 		Route: t.job.Route, Probation: probation,
-		StartBefore: t.job.objective.Add(-t.expectedRuntime), EndBefore: t.job.Deadline, Work: t.job.expectedWork,
+		StartBefore: t.job.objective.Add(-t.expectedRuntime), EndBefore: t.job.Deadline, Work: t.job.workAt(a),
 	}
 	if probation > 0 {
 		c.beginProbation(a, t)
@@ -323,11 +324,7 @@
 
 // runtimeFor returns the runtime of a task of the given work at this minion.
 func (a *agent) runtimeFor(j *job, normalizedWork time.Duration) time.Duration {
-	expected := float64(normalizedWork) * math.Exp(a.load.Slowness)
-	if j.Rack != "" && !slices.Contains(a.minion.Labels, j.Rack) {
-		expected *= remoteDataFactor
-	}
-	return time.Duration(expected)
+	return time.Duration(float64(normalizedWork) * math.Exp(a.load.Slowness) * j.remoteFactorAt(a))
 }
 
 // expectedEnd returns the expected time until a task of the job would end here,
