--- a/scheduler/locality.go
+++ b/scheduler/locality.go
@@ -15,6 +15,12 @@
 	// wantedPenalty is the cost of a minion on a wanted rack to tasks without data
 	// there, in utilization. They go there if others are fuller by as much.
 	wantedPenalty = 0.3
+	// otherShare is the share of a minion on a wanted rack that tasks without data
+	// there may fill up to.
+	otherShare = 0.7
+	// lastChance is the time before its latest start in which a task may use the
+	// rest too.
+	lastChance = 20 * time.Millisecond
 	// maxWantedRacks caps the racks that are known to be wanted.
 	maxWantedRacks = 256
 	// handoverTime is the least time until a minion has room for the next task.
@@ -117,6 +123,16 @@
 	return 0
 }
 
+// reserves reports whether the room of a minion is kept for tasks with data on
+// its rack. A task that may run nowhere else, or has no time left, isn't kept
+// off.
+func (l *locality) reserves(now time.Time, a *agent, t *task) bool {
+	if len(l.wantedUntil) == 0 || t.job.Label != "" || l.penalty(now, a, t.job) == 0 || now.After(t.latestStart().Add(-lastChance)) {
+		return false
+	}
+	return a.committed().CPU+t.job.Room.CPU > int64(otherShare*float64(a.minion.Room.CPU))
+}
+
 // want records that a rack has no room for a task with data there.
 func (l *locality) want(now time.Time, rack string) {
 	if len(l.wantedUntil) >= maxWantedRacks {
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -162,7 +162,7 @@
 func (c *Core) findCandidates(now time.Time, t *task, suspected bool, where scope) candidates {
 	found := candidates{earliestEnd: math.MaxInt64, sufficientCost: math.Inf(1), queuedEnd: math.MaxInt64}
 	for _, a := range c.sortedAgents {
-		if !where.includes(a, t.job) || !a.admits(now, t, suspected) || !c.opensTo(a, t.job) {
+		if !where.includes(a, t.job) || !a.admits(now, t, suspected) || !c.opensTo(a, t.job) || c.locality.reserves(now, a, t) {
 			continue
 		}
 		end := a.expectedEnd(t.job)
@@ -175,13 +175,14 @@
 			end *= avoidedMinionPenalty // Returns to such a minion only if all others are far worse.
 		}
 		end += time.Duration(c.options.Random.Int64N(int64(tieJitter) + int64(tieJitterFraction*float64(end))))
-		if end < found.earliestEnd {
-			found.earliest, found.earliestEnd = a, end
+		penalty := c.locality.penalty(now, a, t.job)
+		if weighted := time.Duration(float64(end) * (1 + penalty)); weighted < found.earliestEnd {
+			found.earliest, found.earliestEnd = a, weighted
 		}
 		if !a.suffices(now, t.job, end) {
 			continue
 		}
-		cost := a.utilization() - a.load.Slowness + utilizationJitter*c.options.Random.Float64() + c.locality.penalty(now, a, t.job)
+		cost := a.utilization() - a.load.Slowness + utilizationJitter*c.options.Random.Float64() + penalty
 		if cost < found.sufficientCost {
 			found.sufficient, found.sufficientCost = a, cost
 		}
