--- a/colocator/colocator.go
+++ b/colocator/colocator.go
@@ -26,6 +26,9 @@
 	// handlingTime is the time from the end of a wait until a run starts: the
 	// interval of placement passes, and the order.
 	handlingTime = 12 * time.Millisecond
+	// waitMargin is the multiple of the expected wait for which a wait that begins
+	// must have time, since waits vary about as much as they last.
+	waitMargin = 2
 	// jitter is the largest fraction by which a wait is shortened at random, so
 	// that tasks that wait for the same place don't leave it at once.
 	jitter = 0.2
@@ -149,7 +152,7 @@
 	if !q.WaitingUntil.IsZero() && q.WaitingUntil.Before(until) {
 		until = q.WaitingUntil
 	}
-	if until.Sub(now) < min(q.Near.Wait, handlingTime) {
+	if expected := q.Near.Wait; until.Sub(now) < expected || q.WaitingUntil.IsZero() && until.Sub(now) < time.Duration(waitMargin*float64(expected)) {
 		return Decision{Choice: Away, Reason: Risk}
 	}
 	return Decision{Choice: Wait, Reason: Pays, Until: until}
--- a/scheduler/locality.go
+++ b/scheduler/locality.go
@@ -11,16 +11,13 @@
 const (
 	// wantedFor is the time for which a rack counts as wanted after a task found no
 	// room there.
-	wantedFor = 300 * time.Millisecond
+	wantedFor = 600 * time.Millisecond
 	// wantedPenalty is the cost of a minion on a wanted rack to tasks without data
 	// there, in utilization. They go there if others are fuller by as much.
 	wantedPenalty = 0.3
 	// otherShare is the share of a minion on a wanted rack that tasks without data
 	// there may fill up to.
-	otherShare = 0.7
-	// lastChance is the time before its latest start in which a task may use the
-	// rest too.
-	lastChance = 20 * time.Millisecond
+	otherShare = 0.5
 	// maxWantedRacks caps the racks that are known to be wanted.
 	maxWantedRacks = 256
 	// handoverTime is the least time until a minion has room for the next task.
@@ -127,7 +124,7 @@
 // its rack. A task that may run nowhere else, or has no time left, isn't kept
 // off.
 func (l *locality) reserves(now time.Time, a *agent, t *task) bool {
-	if len(l.wantedUntil) == 0 || t.job.Label != "" || l.penalty(now, a, t.job) == 0 || now.After(t.latestStart().Add(-lastChance)) {
+	if len(l.wantedUntil) == 0 || t.job.Label != "" || l.penalty(now, a, t.job) == 0 || now.After(t.latestStart()) {
 		return false
 	}
 	return a.committed().CPU+t.job.Room.CPU > int64(otherShare*float64(a.minion.Room.CPU))
