--- a/jobber/jobber.go
+++ b/jobber/jobber.go
@@ -78,9 +78,13 @@
 	// because of them. confined and released count the routes that were confined
 	// and released.
 	crashes, condemned, confined, released metrics.Counter
-	outcomes                               map[work.Outcome]metrics.Counter
-	endedRuns                              map[work.State]metrics.Counter
-	answerTime                             metrics.Timer
+	// dataWaits counts waits for room near the data of a task, and dataWaitsPaid
+	// those that paid.
+	dataWaits, dataWaitsPaid metrics.Counter
+	dataWait                 metrics.Timer
+	outcomes                 map[work.Outcome]metrics.Counter
+	endedRuns                map[work.State]metrics.Counter
+	answerTime               metrics.Timer
 }
 
 // New starts a Jobber.
@@ -97,16 +101,19 @@
 
 func newJobMetrics(r metrics.Registry) jobMetrics {
 	m := jobMetrics{
-		submitted:  metrics.GetOrRegisterCounter("jobs-submitted", r),
-		placed:     metrics.GetOrRegisterCounter("runs-placed", r),
-		stopped:    metrics.GetOrRegisterCounter("runs-stopped", r),
-		crashes:    metrics.GetOrRegisterCounter("minion-crashes", r),
-		condemned:  metrics.GetOrRegisterCounter("tasks-condemned", r),
-		confined:   metrics.GetOrRegisterCounter("routes-confined", r),
-		released:   metrics.GetOrRegisterCounter("routes-released", r),
-		outcomes:   make(map[work.Outcome]metrics.Counter),
-		endedRuns:  make(map[work.State]metrics.Counter),
-		answerTime: metrics.GetOrRegisterTimer("job-answer", r),
+		submitted:     metrics.GetOrRegisterCounter("jobs-submitted", r),
+		placed:        metrics.GetOrRegisterCounter("runs-placed", r),
+		stopped:       metrics.GetOrRegisterCounter("runs-stopped", r),
+		crashes:       metrics.GetOrRegisterCounter("minion-crashes", r),
+		condemned:     metrics.GetOrRegisterCounter("tasks-condemned", r),
+		confined:      metrics.GetOrRegisterCounter("routes-confined", r),
+		released:      metrics.GetOrRegisterCounter("routes-released", r),
+		dataWaits:     metrics.GetOrRegisterCounter("data-waits", r),
+		dataWaitsPaid: metrics.GetOrRegisterCounter("data-waits-paid", r),
+		dataWait:      metrics.GetOrRegisterTimer("data-wait", r),
+		outcomes:      make(map[work.Outcome]metrics.Counter),
+		endedRuns:     make(map[work.State]metrics.Counter),
+		answerTime:    metrics.GetOrRegisterTimer("job-answer", r),
 	}
 	for outcome := work.Succeeded; outcome <= work.Cancelled; outcome++ {
 		m.outcomes[outcome] = metrics.GetOrRegisterCounter("jobs-"+outcome.String(), r)
@@ -257,11 +264,23 @@
 	case scheduler.RouteReleased:
 		j.metrics.released.Inc(1)
 		j.options.Log.Info("scheduler: Released a route", "route", c.Route, "successes", c.Successes)
+	case scheduler.DataWaitEnded:
+		j.dataWaitEnded(c)
 	case scheduler.LogMessage:
 		j.logMessage(c)
 	}
 }
 
+func (j *Jobber) dataWaitEnded(c scheduler.DataWaitEnded) {
+	j.metrics.dataWaits.Inc(1)
+	j.metrics.dataWait.Update(c.Length)
+	if c.Paid {
+		j.metrics.dataWaitsPaid.Inc(1)
+	}
+	j.options.Log.Info("scheduler: A task waited for room near its data", "run", c.Run.String(), "route", c.Route, "near", c.Near, "paid", c.Paid,
+		"reason", c.Reason, "waited", c.Length, "expected", c.Expected, "elsewhere", c.Elsewhere.Name)
+}
+
 func (j *Jobber) answer(c scheduler.Answer) {
 	j.metrics.outcomes[c.Outcome].Inc(1)
 	j.options.Log.Info("scheduler: Answered a job", "job", c.Job, "outcome", c.Outcome.String(), "reason", c.Reason, "retry-after", c.RetryAfter,
--- a/rehearser/locality.go
+++ b/rehearser/locality.go
@@ -96,7 +96,6 @@
 // elsewhere.
 func (v *verifier) dataWaitEnded(ev scheduler.DataWaitEnded) {
 	v.result.DataWaits++
-	Debug[ev.Reason+fmt.Sprint(ev.Near)]++
 	v.locality.waited += ev.Length
 	if ev.Paid {
 		v.result.DataWaitsPaid++
@@ -129,5 +128,3 @@
 		r.MeanDataWait = f.waited / time.Duration(r.DataWaits)
 	}
 }
-
-var Debug = map[string]int{}
--- a/rehearser/locality_test.go
+++ b/rehearser/locality_test.go
@@ -12,36 +12,66 @@
 	"agatevalve/router"
 )
 
-// hotRackDay returns a day of fourteen entries and 77 minions on seven racks, on
-// which a share of the jobs of the shortest route have their data on one rack.
-func hotRackDay(seed uint64, share, load float64, wait work.DataWait) rehearser.Day {
+// hotRackDay returns a busy day of seven entries and 38 minions, six on a rack, on
+// which 60 % of the jobs of the shortest route have their data on one rack.
+func hotRackDay(seed uint64, wait work.DataWait) rehearser.Day {
 	day := rehearser.Day{
-		Seed: seed, Length: 5 * time.Second, Entries: 14, Room: work.Room{CPU: 32000, Memory: 131072},
+		Seed: seed, Length: 5 * time.Second, Entries: 7, Room: work.Room{CPU: 32000, Memory: 131072},
 		Routes: []rehearser.Route{
-			{Name: "check", JobsPerSecond: 206 * load, Tasks: 8, Work: 60 * time.Millisecond, CPU: 3600, Worth: 0.00485},
-			{Name: "lookup", JobsPerSecond: 37.6 * load, Tasks: 4, Work: 900 * time.Millisecond, CPU: 3600, Worth: 0.0267, Priority: 2},
-			{Name: "claim", JobsPerSecond: 601 * load, Tasks: 2, Work: 200 * time.Millisecond, CPU: 3600, Worth: 0.00167, Priority: 1},
+			{Name: "check", JobsPerSecond: 144, Tasks: 8, Work: 60 * time.Millisecond, CPU: 3600, Worth: 0.00485},
+			{Name: "lookup", JobsPerSecond: 26, Tasks: 4, Work: 900 * time.Millisecond, CPU: 3600, Worth: 0.0267, Priority: 2},
+			{Name: "claim", JobsPerSecond: 420, Tasks: 2, Work: 200 * time.Millisecond, CPU: 3600, Worth: 0.00167, Priority: 1},
 		},
-		HotRack: rehearser.HotRack{Route: "check", Rack: "rack-0", Share: share, At: time.Second, For: 4 * time.Second, Factor: 2, DataWait: wait},
+		HotRack: rehearser.HotRack{Route: "check", Rack: "rack-0", Share: 0.6, At: time.Second, For: 4 * time.Second, Factor: 2, DataWait: wait},
 	}
-	for i := range 77 {
+	for i := range 38 {
 		day.DurationFactors = append(day.DurationFactors, []float64{0.7, 0.7, 1.7}[i%3])
-		day.Labels = append(day.Labels, []string{fmt.Sprintf("rack-%d", i/12)})
+		day.Labels = append(day.Labels, []string{fmt.Sprintf("rack-%d", i/6)})
 	}
 	return day
 }
 
-func TestTrial(t *testing.T) {
+// Bounds of issue 29: the kind with the data gains 0.05, no other loses more than
+// 0.01, a quarter of the core time that runs elsewhere cost is saved, and at most
+// a hundredth of the tasks that wait become late by it. The figures are means of
+// three seeds.
+func TestHotRackServesItsWorkWithoutHarmToOthers(t *testing.T) {
 	is := is.New(t)
-	for _, load := range []float64{1.4} {
-		for seed := range uint64(2) {
-			for _, w := range []work.DataWait{{}, router.DefaultDataWait()} {
-				r := rehearser.Play(hotRackDay(seed, 0.6, load, w))
-				t.Logf("load %.1f seed %d wait %v: data %.3f %v near %d remote %d cores %.3f waits %d paid %d mean %v late %d refused %d worth %.3f", load, seed, w.MaxWait > 0, r.OnTimeWithData, r.OnTimeByRoute, r.NearStarts, r.RemoteStarts, r.DataCoreSeconds, r.DataWaits, r.DataWaitsPaid, r.MeanDataWait, r.LateByWait, r.Refused, r.Worth)
-				t.Log(rehearser.Debug)
-				clear(rehearser.Debug)
-				is.Equal(r.Violations, nil)
-			}
+	const seeds = 3
+	gained, waits, lateByWait := make(map[string]float64), 0, 0
+	coreSeconds, without, nearCoreSeconds := 0.0, 0.0, 0.0
+	for seed := range uint64(seeds) {
+		day := hotRackDay(seed, router.DefaultDataWait())
+		with, never := rehearser.Play(day), rehearser.Play(hotRackDay(seed, work.DataWait{}))
+		day.HotRack.Factor = 1 // The same jobs cost nothing elsewhere.
+		free := rehearser.Play(day)
+		t.Logf("with: %+v\nnever: %+v", with, never)
+		is.Equal(with.Violations, nil)
+		for _, route := range []string{"lookup", "claim"} {
+			gained[route] += (with.OnTimeByRoute[route] - never.OnTimeByRoute[route]) / seeds
 		}
+		gained["data"] += (with.OnTimeWithData - never.OnTimeWithData) / seeds
+		coreSeconds, without, nearCoreSeconds = coreSeconds+with.DataCoreSeconds, without+never.DataCoreSeconds, nearCoreSeconds+free.DataCoreSeconds
+		waits, lateByWait = waits+with.DataWaits, lateByWait+with.LateByWait
 	}
+	t.Logf("gained %v, core seconds %.3f, without waits %.3f, at no cost elsewhere %.3f, %d waits, %d late", gained, coreSeconds, without, nearCoreSeconds, waits, lateByWait)
+	is.True(gained["data"] >= 0.05)
+	is.True(gained["lookup"] >= -0.01)
+	is.True(gained["claim"] >= -0.01)
+	is.True(coreSeconds <= without-(without-nearCoreSeconds)/4)
+	is.True(waits > 0)
+	is.True(float64(lateByWait) <= 0.01*float64(waits))
+}
+
+// The crash of the hot rack ends all waits for it: no job that has not started
+// is kept until its deadline.
+func TestLossOfTheHotRackCausesNoViolation(t *testing.T) {
+	is := is.New(t)
+	day := hotRackDay(1, router.DefaultDataWait())
+	for i := range 6 {
+		day.Faults = append(day.Faults, rehearser.Fault{Kind: rehearser.CrashMinion, At: 2 * time.Second, For: 4 * time.Second, Minion: i})
+	}
+	result := rehearser.Play(day)
+	t.Logf("%+v", result)
+	is.Equal(result.Violations, nil)
 }
