--- a/router/router_test.go
+++ b/router/router_test.go
@@ -145,6 +145,8 @@
 		{"method", change(func(r *router.Route) { r.Method = "get" }), deskPools, router.BadMethod},
 		{"weight", change(func(r *router.Route) { r.WasteWeight = 101 }), deskPools, router.OutOfRange},
 		{"deadline", change(func(r *router.Route) { r.AnswerWithin = -time.Second }), deskPools, router.OutOfRange},
+		{"data wait", change(func(r *router.Route) { r.Jobs.DataWait.MaxWait = -time.Second }), deskPools, router.OutOfRange},
+		{"weight of a data wait", change(func(r *router.Route) { r.Jobs.DataWait.Weight = 11 }), deskPools, router.OutOfRange},
 		{"slots", allMethods[:1], []router.Pool{{Name: "desk", SlotsPerMinion: -1}}, router.OutOfRange},
 		{"quota", allMethods[:1], []router.Pool{{Name: "desk", Quotas: []router.Quota{{Team: "a"}}}}, router.OutOfRange},
 		{"quotas", allMethods[:1], []router.Pool{{Name: "desk", Quotas: []router.Quota{{Team: "a", Weight: 1}, {Team: "a", Weight: 1}}}}, router.DuplicateQuota},
