--- a/colocator/colocator.go
+++ b/colocator/colocator.go
@@ -135,6 +135,12 @@
 	case !q.WaitingUntil.IsZero() && !now.Before(q.WaitingUntil):
 		return Decision{Choice: Away, Reason: Expired}
 	}
+	return weigh(now, q)
+}
+
+// weigh decides if the task can run elsewhere now, and ends there earlier or has
+// no room near its data yet.
+func weigh(now time.Time, q Question) Decision {
 	gain := q.Near.value(now, q) - q.Away.value(now, q)
 	switch {
 	case gain < -acceptedRisk:
@@ -149,15 +155,24 @@
 		limit = min(limit, worthwhile(q)+q.Away.Wait)
 	}
 	until := now.Add(time.Duration(float64(limit) * (1 - jitter*q.Random)))
-	if !q.WaitingUntil.IsZero() && q.WaitingUntil.Before(until) {
-		until = q.WaitingUntil
+	needed := time.Duration(waitMargin * float64(q.Near.Wait))
+	if !q.WaitingUntil.IsZero() {
+		needed = q.Near.Wait
+		until = earlier(until, q.WaitingUntil)
 	}
-	if expected := q.Near.Wait; until.Sub(now) < expected || q.WaitingUntil.IsZero() && until.Sub(now) < time.Duration(waitMargin*float64(expected)) {
+	if until.Sub(now) < needed {
 		return Decision{Choice: Away, Reason: Risk}
 	}
 	return Decision{Choice: Wait, Reason: Pays, Until: until}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // worthwhile returns the longest wait that costs less than the time by which a
 // run elsewhere takes longer, for the task and for others.
 func worthwhile(q Question) time.Duration {
--- a/scheduler/locality_test.go
+++ b/scheduler/locality_test.go
@@ -33,9 +33,9 @@
 }
 
 // fill makes the minion of an agent full of others' short runs.
-func (b *testbed) fill(i int) []scheduler.Command {
+func (b *testbed) fill(i int) {
 	load := work.Load{Running: work.Room{CPU: 10_000}, Queued: work.Room{CPU: 2000}, QueuedWork: 10 * time.Millisecond}
-	return b.step(scheduler.Reported{Agent: agent(i), Link: uint64(i + 1), Load: &load})
+	b.step(scheduler.Reported{Agent: agent(i), Link: uint64(i + 1), Load: &load})
 }
 
 // withData returns the submission of a job of one task with data on rack a, on a
