colocator: Lets tasks wait that end earlier near their data

Waits that ended as a risk right after their begin hardly paid. A wait in the task's own interest is bounded by its objective near the data, and decided anew in each pass; one for the sake of others leaves time to go elsewhere as before, which the test of bounds now says.

--- a/colocator/colocator.go
+++ b/colocator/colocator.go
@@ -26,9 +26,6 @@
 	// handlingTime is the time from the end of a wait until a run starts: the
 	// interval of placement passes, and the order.
 	handlingTime = 12 * time.Millisecond
-	// waitMargin is the multiple of the expected wait for which a wait that begins
-	// must have time, since waits vary about as much as they last.
-	waitMargin = 2
 	// jitter is the largest fraction by which a wait is shortened at random, so
 	// that tasks that wait for the same place don't leave it at once.
 	jitter = 0.2
@@ -116,10 +113,10 @@
 //
 // A run elsewhere takes longer by a factor, which delays the task itself and
 // takes room from others: the more, the higher the load. A wait pays while it is
-// shorter than that. It ends while a run elsewhere would still be on time with
-// all but acceptedRisk, or, if such a run would likely be late, while one near
-// the data is likely on time. A wait that gains clearGain isn't compared with
-// the longer runtime.
+// shorter than that, or gains clearGain in value. A wait by which the task is
+// expected to end later than elsewhere ends while a run there would still be on
+// time with all but acceptedRisk. Each placement pass decides anew, so that a
+// wait ends with its reason.
 func Decide(now time.Time, q Question) Decision {
 	switch {
 	case !q.Near.Exists:
@@ -150,22 +147,30 @@
 	case q.NearHasRoom:
 		return Decision{Choice: Near, Reason: Pays}
 	}
-	limit := min(latestWait(now, q), q.Policy.MaxWait)
-	if gain < clearGain {
-		limit = min(limit, worthwhile(q)+q.Away.Wait)
-	}
-	until := now.Add(time.Duration(float64(limit) * (1 - jitter*q.Random)))
-	needed := time.Duration(waitMargin * float64(q.Near.Wait))
+	until := now.Add(time.Duration(float64(longestWait(now, q, gain)) * (1 - jitter*q.Random)))
 	if !q.WaitingUntil.IsZero() {
-		needed = q.Near.Wait
 		until = earlier(until, q.WaitingUntil)
 	}
-	if until.Sub(now) < needed {
+	if until.Sub(now) < min(q.Near.Wait, handlingTime) {
 		return Decision{Choice: Away, Reason: Risk}
 	}
 	return Decision{Choice: Wait, Reason: Pays, Until: until}
 }
 
+// longestWait returns how long the task may wait. Where it is expected to end
+// earlier than elsewhere, it waits while it can be on time near its data. A wait
+// for the sake of others leaves time for a run elsewhere.
+func longestWait(now time.Time, q Question, gain float64) time.Duration {
+	nearLimit := q.Objective.Sub(now) - handlingTime - q.Near.bounded(1)
+	switch {
+	case q.Near.Wait+handlingTime+q.Near.Runtime < q.Away.Wait+q.Away.Runtime:
+		return min(q.Policy.MaxWait, nearLimit)
+	case gain >= clearGain:
+		return min(q.Policy.MaxWait, latestWait(now, q))
+	}
+	return min(q.Policy.MaxWait, latestWait(now, q), worthwhile(q)+q.Away.Wait)
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
