--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -358,32 +358,6 @@
 	}
 }
 
-func (c *Core) taskFailed(now time.Time, a *agent, t *task) {
-	t.failures++
-	if !t.job.failedOnOtherMinion(a.minion.Name) {
-		a.recordFailure(now)
-	}
-	t.failedMinions = append(t.failedMinions, a.minion.Name)
-	if t.failures >= t.job.Attempts {
-		c.finish(now, t.job, work.Exhausted, "a task failed as often as its route allows")
-		return
-	}
-	c.enqueue(t)
-}
-
-// failedOnOtherMinion reports whether tasks of the job have failed at another
-// minion, in which case the fault is likely the job's own.
-func (j *job) failedOnOtherMinion(minion string) bool {
-	for _, t := range j.tasks {
-		for _, name := range t.failedMinions {
-			if name != minion {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // taskReturned handles a run that was refused, stopped or lost. The task waits
 // for another run, or its job is given up if it can't end in time.
 func (c *Core) taskReturned(now time.Time, a *agent, t *task, report work.Report) {
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"agatevalve/common/work"
+)
 
 const (
 	// failureWeight is the weight of a new run in the moving average of a
@@ -52,3 +56,29 @@
 		h.nextTrial = now.Add(h.trialBackoff)
 	}
 }
+
+// failedOnOtherMinion reports whether tasks of the job have failed at another
+// minion, in which case the fault is likely the job's own.
+func (j *job) failedOnOtherMinion(minion string) bool {
+	for _, t := range j.tasks {
+		for _, name := range t.failedMinions {
+			if name != minion {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (c *Core) taskFailed(now time.Time, a *agent, t *task) {
+	t.failures++
+	if !t.job.failedOnOtherMinion(a.minion.Name) {
+		a.recordFailure(now)
+	}
+	t.failedMinions = append(t.failedMinions, a.minion.Name)
+	if t.failures >= t.job.Attempts {
+		c.finish(now, t.job, work.Exhausted, "a task failed as often as its route allows")
+		return
+	}
+	c.enqueue(t)
+}
