coupler, scheduler, supervisor: Carry waits for data, tell zones once

Jobs that are handed to another entry keep their policy on waits for data. A newer read of the same evacuated zones is kept but not passed on: each entry has a version of its own, so that after a compaction of the store every link would have carried as many messages as there are entries.

--- a/coupler/relay_test.go
+++ b/coupler/relay_test.go
@@ -60,7 +60,7 @@
 	now := clock.Now()
 	job := work.Job{
 		ID: id, Route: "r", Service: "s", Spec: "x", Count: 3, Room: work.Room{CPU: 100}, Attempts: 2, Priority: 1, Stretch: 1.6,
-		Arrived: now.Add(-time.Second), Deadline: now.Add(time.Minute), Rack: "r1",
+		Arrived: now.Add(-time.Second), Deadline: now.Add(time.Minute), Rack: "r1", DataWait: work.DataWait{MaxWait: time.Second, Weight: 0.5},
 	}
 	answers := make(chan answer, 1)
 	for until := now.Add(20 * time.Second); clock.Now().Before(until); time.Sleep(time.Millisecond) {
@@ -83,6 +83,7 @@
 	job := <-jobs
 	is.Equal(job.Count, 3)
 	is.Equal(job.Rack, "r1")
+	is.Equal(job.DataWait, work.DataWait{MaxWait: time.Second, Weight: 0.5})
 	is.True(clock.Since(job.Arrived) >= time.Second) // The objective counts from the arrival.
 	is.Equal((<-p.carry(t, "b")).taken, false)
 	is.Equal(p.client.Capacity(p.peer), 800)
--- a/coupler/relaycodec.go
+++ b/coupler/relaycodec.go
@@ -19,6 +19,7 @@
 		Id: j.ID, Route: j.Route, Service: j.Service, Spec: j.Spec, Count: uint32(j.Count), Room: roomToWire(j.Room), Label: j.Label,
 		MostBeside: uint32(j.MaxPerMinion), Rack: j.Rack, Hint: durationpb.New(j.Hint), Attempts: uint32(j.Attempts), Priority: int32(j.Priority),
 		Stretch: j.Stretch, Allowance: durationpb.New(j.Allowance), Age: durationpb.New(now.Sub(j.Arrived)), Left: durationpb.New(j.Deadline.Sub(now)),
+		DataWait: durationpb.New(j.DataWait.MaxWait), DataWaitWeight: j.DataWait.Weight,
 	}
 }
 
@@ -30,8 +31,8 @@
 		return work.Job{}, fault.New(fault.Invalid, remedy, "a job that was handed over has no id or no service")
 	case j.GetCount() == 0 || j.GetCount() > math.MaxInt32 || j.GetAttempts() == 0 || j.GetAttempts() > math.MaxInt32 || j.GetMostBeside() > math.MaxInt32:
 		return work.Job{}, fault.New(fault.Invalid, remedy, "job %s has %d tasks and %d attempts", j.GetId(), j.GetCount(), j.GetAttempts())
-	case math.IsNaN(j.GetStretch()) || math.IsInf(j.GetStretch(), 0):
-		return work.Job{}, fault.New(fault.Invalid, remedy, "the objective of job %s is no number", j.GetId())
+	case !isFinite(j.GetStretch()) || !isFinite(j.GetDataWaitWeight()):
+		return work.Job{}, fault.New(fault.Invalid, remedy, "the objective of job %s, or its wait for data, is no number", j.GetId())
 	}
 	room := roomFromWire(j.GetRoom())
 	if room.CPU < 0 || room.Memory < 0 || room.Accelerators < 0 {
@@ -42,9 +43,12 @@
 		Label: j.GetLabel(), MaxPerMinion: int(j.GetMostBeside()), Rack: j.GetRack(), Hint: j.GetHint().AsDuration(), Attempts: int(j.GetAttempts()),
 		Priority: int(j.GetPriority()), Stretch: j.GetStretch(), Allowance: j.GetAllowance().AsDuration(),
 		Arrived: now.Add(-j.GetAge().AsDuration()), Deadline: now.Add(j.GetLeft().AsDuration()),
+		DataWait: work.DataWait{MaxWait: j.GetDataWait().AsDuration(), Weight: j.GetDataWaitWeight()},
 	}, nil
 }
 
+func isFinite(x float64) bool { return !math.IsNaN(x) && !math.IsInf(x, 0) }
+
 // resultToWire encodes the result of a job. The outcome is left out if the job was
 // not taken.
 func resultToWire(id string, result jobber.Result, taken bool) *v1.RelayResult {
--- a/scheduler/zones.go
+++ b/scheduler/zones.go
@@ -54,6 +54,9 @@
 	}
 	decision.Evacuated = slices.Clone(decision.Evacuated)
 	c.evacuation.decision = decision
+	if slices.Equal(decision.Evacuated, previous.Evacuated) && previous.Version > 0 {
+		return // A newer read of the same; each entry has its own.
+	}
 	agents := make(map[string]int)
 	for _, a := range c.sortedAgents {
 		c.applyZones(a)
--- a/supervisor/zones.go
+++ b/supervisor/zones.go
@@ -14,9 +14,12 @@
 	if !decision.NewerThan(c.zones) {
 		return
 	}
-	wasEvacuated := c.evacuated()
+	previous, wasEvacuated := c.zones, c.evacuated()
 	decision.Evacuated = slices.Clone(decision.Evacuated)
 	c.zones = decision
+	if slices.Equal(decision.Evacuated, previous.Evacuated) && previous.Version > 0 {
+		return // A newer read of the same; each entry has its own.
+	}
 	for _, e := range c.sortedEntries {
 		if e.link != 0 && e.zonesVersion < decision.Version {
 			e.zonesVersion = decision.Version
