--- a/rehearser/rehearser_test.go
+++ b/rehearser/rehearser_test.go
@@ -178,3 +178,21 @@
 	is.Equal(result.Violations, nil)
 	is.True(result.Worth >= 0.95)
 }
+
+// Minions that don't guard their capacity get no start beyond it, as far as they
+// have reported it.
+func TestShrunkMinionsAreNotOverfilledInABurst(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(3) {
+		day := deskDay(seed)
+		day.AllowOvercommit = true
+		day.Burst = rehearser.Burst{At: 4 * time.Second, For: 3 * time.Second, Factor: 1.4}
+		for i := range 3 {
+			day.Faults = append(day.Faults, rehearser.Fault{Kind: rehearser.ShrinkMinion, At: 2 * time.Second, For: 7 * time.Second, Minion: 4 * i})
+		}
+		result := rehearser.Play(day)
+		t.Logf("%+v", result)
+		is.Equal(strings.Join(result.Violations, "\n"), "")
+		is.True(result.Worth > 0.9) // As on a day without faults.
+	}
+}
