--- a/rehearser/callers.go
+++ b/rehearser/callers.go
@@ -55,6 +55,8 @@
 	alwaysFails           bool
 	// deadly is true if a task of the job crashes minions.
 	deadly bool
+	// served is true once the job was answered as done, in time or late.
+	served bool
 }
 
 // startArrivals starts the arrivals of jobs, which last for the length of the
--- a/rehearser/day.go
+++ b/rehearser/day.go
@@ -151,4 +151,6 @@
 	// WorthByRoute is the Worth of each route, and SettledWorthByRoute that of the
 	// jobs that arrived when deadly work had gone on for settlingTime.
 	WorthByRoute, SettledWorthByRoute map[string]float64
+	// ServedBySize holds the served share of the jobs of each route.
+	ServedBySize map[string]SizedShare
 }
--- a/rehearser/verifier.go
+++ b/rehearser/verifier.go
@@ -318,6 +318,7 @@
 		if outcome == work.Succeeded && c.alwaysFails {
 			v.violation("false answer: %s succeeded though its tasks always fail", c.id)
 		}
+		c.served = true
 		if onTime {
 			v.result.OnTime++
 			v.earn(c, c.route.Worth)
@@ -350,6 +351,7 @@
 		}
 	}
 	v.result.Worth = totalEarned / totalOffered
+	v.result.ServedBySize = v.servedBySize()
 	return v.result
 }
 
