--- a/rehearser/day.go
+++ b/rehearser/day.go
@@ -196,4 +196,6 @@
 	// on time elsewhere. MeanDataWait is the mean length of a wait.
 	DataWaits, DataWaitsPaid, LateByWait int
 	MeanDataWait                         time.Duration
+	// ServedBySize holds the served share of the jobs of each route.
+	ServedBySize map[string]SizedShare
 }
--- a/rehearser/verifier.go
+++ b/rehearser/verifier.go
@@ -326,6 +326,7 @@
 		if outcome == work.Succeeded && c.alwaysFails {
 			v.violation("false answer: %s succeeded though its tasks always fail", c.id)
 		}
+		c.served = true
 		if onTime {
 			v.result.OnTime++
 			v.countServed(c, func(s *Served, work float64) { s.OnTime, s.OnTimeWork = s.OnTime+1, s.OnTimeWork+work })
@@ -362,6 +363,7 @@
 	}
 	v.result.Worth = totalEarned / totalOffered
 	v.locality.summarize(&v.result)
+	v.result.ServedBySize = v.servedBySize()
 	return v.result
 }
 
