relayer, coupler, supervisor, scheduler: Mend what two reviews found

Found by reading, by maintainers who had not written the parts; callers would have seen it under overload only. A job that ran at an entry could be handed over when its caller sent it again, and so run twice: an entry now counts the jobs that run there and hands none of them over. The new test fails without the count. Besides: a stream between entries counts as in use as long as it is open, so that silence is noticed within 0.6 s also for jobs of more than 8 s; a job that can't be read, or is too large, ends no stream; the number of tasks is bounded; an entry that can't be reached is passed over; a single long wait for the processor, or one from before a pause, hands nothing over; a stopping entry waits until results are sent. Slow start ends when the minion says that it is warm, and its expected slowness decays without runs. Chained waits for data share one end, wanted racks count for their service only, and started work isn't given up because its zone is evacuated.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// maxTasks caps the tasks of a job, far above the 1,300 that are expected.
-	maxTasks = 100_000
 	// answerMargin is the time before the caller's deadline at which the answer
 	// is sent: about twice the longest one-way latency to a caller, 3 ms, plus a
 	// late timer.
@@ -32,7 +30,7 @@
 		return work.Job{}, fault.New(fault.Unavailable, "send jobs of one step that are answered at their end", "%s are not supported", feature)
 	}
 	step := s.Steps[0]
-	if step.Count < 1 || step.Count > maxTasks {
+	if step.Count < 1 || step.Count > work.MaxTasks {
 		return work.Job{}, fault.New(fault.Invalid, "send 1 to 100,000 tasks", "the step has %d tasks", step.Count)
 	}
 	if step.Room.CPU < 0 || step.Room.Memory < 0 || step.Room.Accelerators < 0 || step.Hint < 0 || step.MaxPerMinion < 0 {
--- a/common/work/work.go
+++ b/common/work/work.go
@@ -246,6 +246,9 @@
 	return 0, false
 }
 
+// MaxTasks caps the tasks of a job, far above the 1,300 that are expected.
+const MaxTasks = 100_000
+
 // Job is a group of identical tasks, answered when all have ended.
 type Job struct {
 	ID string
--- a/coupler/relayclient.go
+++ b/coupler/relayclient.go
@@ -24,7 +24,11 @@
 const (
 	// relayIdleTimeout is the time without jobs after which a stream to another
 	// entry is closed.
-	relayIdleTimeout = 10 * time.Second
+	relayIdleTimeout = 6 * time.Second
+	// maxRelayedSpec is the largest specification of a job that is handed over, in
+	// bytes, and maxRelayedBytes that of all jobs in a frame.
+	maxRelayedSpec  = 64 << 10
+	maxRelayedBytes = 4 << 20
 	// relayReopenDelay is the minimum time between two attempts to open a stream to
 	// the same entry.
 	relayReopenDelay = 300 * time.Millisecond
@@ -55,15 +59,19 @@
 // relayStream is a stream to one entry. Its fields are guarded by the mutex of the
 // client.
 type relayStream struct {
+	// queue holds what is to be sent; nil unless open.
 	queue *ring.Ring[relayMessage]
+	// closeStream ends the stream; nil before the first one.
+	closeStream context.CancelCauseFunc
 	// open is true from the first frame of the other entry to the end of the stream.
 	open bool
 	// reopenAt is the earliest time of the next attempt to open it.
 	reopenAt time.Time
 	// lastJobAt is the time of the last job or result.
 	lastJobAt time.Time
-	// pending holds the jobs without a result, by id.
+	// pending holds the jobs without a result, by id; nil unless open.
 	pending map[string]func(jobber.Result, bool)
+	// running is true while a goroutine connects or serves it.
 	running bool
 	// capacity is the processor share of the entry in thousandths of a core; 0 if
 	// unknown.
@@ -100,7 +108,7 @@
 		}
 		return false
 	}
-	if s.pending[job.ID] != nil || !s.queue.Offer(relayMessage{job: job}) {
+	if len(job.Spec) > maxRelayedSpec || s.pending[job.ID] != nil || !s.queue.Offer(relayMessage{job: job}) {
 		return false
 	}
 	s.pending[job.ID], s.lastJobAt = done, now
@@ -121,14 +129,16 @@
 func (c *RelayClient) Withdraw(peer netip.AddrPort, id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s := c.streams[peer]; s != nil && s.open {
-		s.queue.Offer(relayMessage{withdrawn: id}) // A full queue closes the stream, which withdraws all.
+	if s := c.streams[peer]; s != nil && s.open && !s.queue.Offer(relayMessage{withdrawn: id}) {
+		s.closeStream(errUnresponsive) // The queue is full. The end of the stream withdraws all.
 	}
 }
 
 // Close closes all streams and waits for their goroutines.
 func (c *RelayClient) Close() {
-	c.cancel()
+	c.mu.Lock()
+	c.cancel() // Nothing is opened after it.
+	c.mu.Unlock()
 	c.goroutines.Wait()
 }
 
@@ -153,7 +163,7 @@
 		c.options.Log.Info("coupler: Could not open a stream to another entry", "entry", peer, "error", err)
 		return
 	}
-	queue := c.markOpen(s, int(first.GetProcessorMillis()))
+	queue := c.markOpen(s, int(first.GetProcessorMillis()), cancel)
 	var writer sync.WaitGroup
 	writer.Go(func() { cancel(c.writeJobs(ctx, stream, s, queue, hb)) })
 	cancel(c.readResults(stream, s, hb))
@@ -161,10 +171,10 @@
 	c.options.Log.Info("coupler: A stream to another entry was closed", "entry", peer, "cause", context.Cause(ctx))
 }
 
-func (c *RelayClient) markOpen(s *relayStream, capacity int) *ring.Ring[relayMessage] {
+func (c *RelayClient) markOpen(s *relayStream, capacity int, closeStream context.CancelCauseFunc) *ring.Ring[relayMessage] {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s.capacity = capacity
+	s.capacity, s.closeStream = capacity, closeStream
 	s.open, s.queue, s.pending, s.lastJobAt = true, ring.New[relayMessage](sendQueueSize), make(map[string]func(jobber.Result, bool)), clock.Now()
 	return s.queue
 }
@@ -188,7 +198,7 @@
 		if err != nil {
 			return err
 		}
-		hb.frameReceived(len(frame.GetResults()) > 0)
+		hb.frameReceived(true) // A stream is never idle, so that both ends notice silence soon.
 		for _, r := range frame.GetResults() {
 			result, taken, err := resultFromWire(r)
 			if err != nil {
@@ -225,7 +235,7 @@
 		case <-timer.C:
 		case <-queue.Ready():
 		}
-		messages, _ = queue.TakeAll(messages[:0])
+		messages, _ = queue.TakeUpTo(messages[:0], maxRelayedBytes/maxRelayedSpec)
 		if len(messages) == 0 && c.closeIfIdle(s) {
 			return errIdle
 		}
@@ -242,7 +252,7 @@
 		if err := stream.Send(frame); err != nil {
 			return err
 		}
-		timer.Reset(hb.frameSent(len(frame.GetJobs())+len(frame.GetWithdrawn()) > 0))
+		timer.Reset(hb.frameSent(true))
 	}
 }
 
--- a/coupler/relaycodec.go
+++ b/coupler/relaycodec.go
@@ -17,7 +17,7 @@
 func jobToWire(j work.Job, now time.Time) *v1.RelayedJob {
 	return &v1.RelayedJob{
 		Id: j.ID, Route: j.Route, Service: j.Service, Spec: j.Spec, Count: uint32(j.Count), Room: roomToWire(j.Room), Label: j.Label,
-		MostBeside: uint32(j.MaxPerMinion), Rack: j.Rack, Hint: durationpb.New(j.Hint), Attempts: uint32(j.Attempts), Priority: int32(j.Priority),
+		MostBeside: uint32(min(j.MaxPerMinion, math.MaxInt32)), Rack: j.Rack, Hint: durationpb.New(j.Hint), Attempts: uint32(min(j.Attempts, math.MaxInt32)), Priority: int32(j.Priority),
 		Stretch: j.Stretch, Allowance: durationpb.New(j.Allowance), Age: durationpb.New(now.Sub(j.Arrived)), Left: durationpb.New(j.Deadline.Sub(now)),
 		DataWait: durationpb.New(j.DataWait.MaxWait), DataWaitWeight: j.DataWait.Weight,
 	}
@@ -29,7 +29,7 @@
 	switch {
 	case j.GetId() == "" || j.GetService() == "":
 		return work.Job{}, fault.New(fault.Invalid, remedy, "a job that was handed over has no id or no service")
-	case j.GetCount() == 0 || j.GetCount() > math.MaxInt32 || j.GetAttempts() == 0 || j.GetAttempts() > math.MaxInt32 || j.GetMostBeside() > math.MaxInt32:
+	case j.GetCount() == 0 || j.GetCount() > work.MaxTasks || j.GetAttempts() == 0 || j.GetAttempts() > math.MaxInt32 || j.GetMostBeside() > math.MaxInt32:
 		return work.Job{}, fault.New(fault.Invalid, remedy, "job %s has %d tasks and %d attempts", j.GetId(), j.GetCount(), j.GetAttempts())
 	case !isFinite(j.GetStretch()) || !isFinite(j.GetDataWaitWeight()):
 		return work.Job{}, fault.New(fault.Invalid, remedy, "the objective of job %s, or its wait for data, is no number", j.GetId())
--- a/coupler/relayserver.go
+++ b/coupler/relayserver.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -18,6 +19,10 @@
 	"agatevalve/wire/agatevalvev1/agatevalvev1connect"
 )
 
+// waitInterval is the interval at which a stopping entry checks whether jobs of
+// other entries are still to be answered.
+const waitInterval = 5 * time.Millisecond
+
 // RelayServerOptions are the dependencies of a RelayServer.
 type RelayServerOptions struct {
 	// TakeOver runs a job until it has ended or ctx ends. It returns false at once
@@ -34,8 +39,8 @@
 // is safe for concurrent use.
 type RelayServer struct {
 	options RelayServerOptions
-	// jobs counts the jobs that run.
-	jobs sync.WaitGroup
+	// jobs counts the jobs without a result that was sent.
+	jobs atomic.Int64
 }
 
 // NewRelayServer returns a server.
@@ -46,16 +51,16 @@
 	mux.Handle(agatevalvev1connect.NewRelayServiceHandler(s, connect.WithReadMaxBytes(maxFrameBytes)))
 }
 
-// Wait waits until no job of another entry runs, or ctx ends.
+// Wait waits until all jobs of other entries are answered, or ctx ends.
 func (s *RelayServer) Wait(ctx context.Context) {
-	idle := make(chan struct{})
-	go func() {
-		s.jobs.Wait()
-		close(idle)
-	}()
-	select {
-	case <-idle:
-	case <-ctx.Done():
+	ticker := time.NewTicker(waitInterval)
+	defer ticker.Stop()
+	for s.jobs.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
@@ -86,6 +91,10 @@
 	jobs := &takenJobs{cancels: make(map[string]context.CancelFunc)}
 	go func() { cancel(s.readJobs(ctx, stream, jobs, results, hb)) }() // Ends with the stream.
 	err = s.writeResults(ctx, stream, results, hb)
+	cancel(err)
+	results.Close()
+	unsent, _ := results.TakeAll(nil)
+	s.jobs.Add(-int64(len(unsent)))
 	s.options.Log.Info("coupler: A stream from another entry was closed", "entry", process.Name, "cause", context.Cause(ctx), "error", err)
 	return err
 }
@@ -97,12 +106,15 @@
 		if err != nil {
 			return err
 		}
-		hb.frameReceived(len(frame.GetJobs())+len(frame.GetWithdrawn()) > 0)
+		hb.frameReceived(true) // A stream is never idle, so that both ends notice silence soon.
 		now := clock.Now()
 		for _, wireJob := range frame.GetJobs() {
 			job, err := jobFromWire(wireJob, now)
 			if err != nil {
-				return connect.NewError(connect.CodeInvalidArgument, err)
+				s.options.Log.Warn("coupler: Did not take an invalid job of another entry", "error", err)
+				s.jobs.Add(1)
+				results.Put(ctx, resultToWire(wireJob.GetId(), jobber.Result{}, false))
+				continue
 			}
 			s.start(ctx, job, jobs, results)
 		}
@@ -114,13 +126,19 @@
 
 // start runs a job on a goroutine of its own, which queues the result.
 func (s *RelayServer) start(ctx context.Context, job work.Job, jobs *takenJobs, results *ring.Ring[*v1.RelayResult]) {
-	ctx, cancel := context.WithCancel(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	jobCtx, cancel := context.WithCancel(ctx)
 	jobs.add(job.ID, cancel)
-	s.jobs.Go(func() {
-		defer jobs.cancel(job.ID)
-		result, taken := s.options.TakeOver(ctx, job)
-		results.Put(ctx, resultToWire(job.ID, result, taken))
-	})
+	s.jobs.Add(1)
+	go func() { // Ends with the job, or with the stream.
+		result, taken := s.options.TakeOver(jobCtx, job)
+		jobs.cancel(job.ID) // Before the result, after which the job may come again.
+		if !results.Put(ctx, resultToWire(job.ID, result, taken)) {
+			s.jobs.Add(-1)
+		}
+	}()
 }
 
 func (t *takenJobs) add(id string, cancel context.CancelFunc) {
@@ -147,7 +165,7 @@
 	if err := stream.Send(&v1.RelayResults{ProcessorMillis: uint32(s.options.ProcessorMillis)}); err != nil {
 		return err
 	}
-	timer.Reset(hb.frameSent(false))
+	timer.Reset(hb.frameSent(true))
 	var queued []*v1.RelayResult
 	for {
 		select {
@@ -157,10 +175,12 @@
 		case <-results.Ready():
 		}
 		queued, _ = results.TakeAll(queued[:0])
-		if err := stream.Send(&v1.RelayResults{Results: queued}); err != nil {
+		err := stream.Send(&v1.RelayResults{Results: queued})
+		s.jobs.Add(-int64(len(queued)))
+		if err != nil {
 			return err
 		}
-		timer.Reset(hb.frameSent(len(queued) > 0))
+		timer.Reset(hb.frameSent(true))
 		queued = nil
 	}
 }
--- a/rehearser/deadly_test.go
+++ b/rehearser/deadly_test.go
@@ -20,6 +20,7 @@
 }
 
 func TestTaskDoesNotCrashMinionAfterMinion(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	for seed := range uint64(3) {
 		day := deadlyDay(seed, 0.1)
@@ -33,6 +34,7 @@
 
 // Once entries know of the work, sound routes lose a twentieth at most.
 func TestSoundRoutesAreServedBesideDeadlyWork(t *testing.T) {
+	t.Parallel()
 	for _, share := range []float64{0.01, 0.1, 0.5} {
 		t.Run(fmt.Sprint(share), func(t *testing.T) {
 			is := is.New(t)
@@ -49,6 +51,7 @@
 }
 
 func TestAtMostAThirdOfTheMinionsIsDownByDeadlyWork(t *testing.T) {
+	t.Parallel()
 	for _, share := range []float64{0.01, 0.1, 0.5} {
 		t.Run(fmt.Sprint(share), func(t *testing.T) {
 			is := is.New(t)
--- a/rehearser/fuzz_test.go
+++ b/rehearser/fuzz_test.go
@@ -76,6 +76,7 @@
 // Cores use monotonic clocks only, so that jumps of the wall clock can't affect
 // them.
 func TestRandomDaysCauseNoViolation(t *testing.T) {
+	t.Parallel()
 	days, steps := 0, 0
 	t.Cleanup(func() { t.Logf("%d days, %d steps", days, steps) })
 	rapid.Check(t, func(t *rapid.T) {
@@ -92,6 +93,7 @@
 // Checks that the verifier detects double execution: minions that ignore lease
 // expiry continue the runs of a frozen agent, whose tasks also run elsewhere.
 func TestVerifierFindsDoubleExecution(t *testing.T) {
+	t.Parallel()
 	day := deskDay(4)
 	day.Length = 4 * time.Second
 	day.IgnoreLeaseExpiry = true
@@ -108,6 +110,7 @@
 // Checks that the verifier detects wrong placement: the policy ignores labels
 // and limits per minion.
 func TestVerifierFindsWrongPlacement(t *testing.T) {
+	t.Parallel()
 	day := rehearser.Day{
 		Seed: 5, Length: 2 * time.Second, Entries: 1, Room: work.Room{CPU: 8000, Memory: 65536}, DurationFactors: []float64{1, 1}, Policy: rehearser.LeastLoaded,
 		Labels: [][]string{{"a"}, {"a", "b"}},
@@ -125,6 +128,7 @@
 // Checks that the verifier detects too many attempts: entries retry tasks that
 // never succeed more often than their route allows.
 func TestVerifierFindsTooManyAttempts(t *testing.T) {
+	t.Parallel()
 	day := deskDay(6)
 	day.Length, day.FailingJobShare, day.ExtraAttempts = 2*time.Second, 0.3, 2
 	if violations := strings.Join(rehearser.Play(day).Violations, "\n"); !strings.Contains(violations, "budget:") {
--- a/rehearser/locality_test.go
+++ b/rehearser/locality_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -31,20 +32,37 @@
 	return day
 }
 
+// playAll plays days at the same time.
+func playAll(days []rehearser.Day) []rehearser.Result {
+	results := make([]rehearser.Result, len(days))
+	var plays sync.WaitGroup
+	for i, day := range days {
+		plays.Go(func() { results[i] = rehearser.Play(day) })
+	}
+	plays.Wait()
+	return results
+}
+
 // Bounds of issue 29: the kind with the data gains 0.05, no other loses more than
 // 0.01, a quarter of the core time that runs elsewhere cost is saved, and at most
 // a hundredth of the tasks that wait become late by it. The figures are means of
 // three seeds.
 func TestHotRackServesItsWorkWithoutHarmToOthers(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	const seeds = 3
 	gained, waits, lateByWait := make(map[string]float64), 0, 0
 	coreSeconds, without, nearCoreSeconds := 0.0, 0.0, 0.0
+	var days []rehearser.Day
 	for seed := range uint64(seeds) {
 		day := hotRackDay(seed, router.DefaultDataWait())
-		with, never := rehearser.Play(day), rehearser.Play(hotRackDay(seed, work.DataWait{}))
-		day.HotRack.Factor = 1 // The same jobs cost nothing elsewhere.
-		free := rehearser.Play(day)
+		free := day
+		free.HotRack.Factor = 1 // The same jobs cost nothing elsewhere.
+		days = append(days, day, hotRackDay(seed, work.DataWait{}), free)
+	}
+	results := playAll(days)
+	for seed := range seeds {
+		with, never, free := results[3*seed], results[3*seed+1], results[3*seed+2]
 		t.Logf("with: %+v\nnever: %+v", with, never)
 		is.Equal(with.Violations, nil)
 		for _, route := range []string{"lookup", "claim"} {
@@ -66,6 +84,7 @@
 // The crash of the hot rack ends all waits for it: no job that has not started
 // is kept until its deadline.
 func TestLossOfTheHotRackCausesNoViolation(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	day := hotRackDay(1, router.DefaultDataWait())
 	for i := range 6 {
--- a/rehearser/rehearser_test.go
+++ b/rehearser/rehearser_test.go
@@ -26,6 +26,7 @@
 }
 
 func TestDayWithoutFaults(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	result := rehearser.Play(deskDay(1))
 	is.Equal(result.Violations, nil)
@@ -34,6 +35,7 @@
 }
 
 func TestSameSeedGivesSameResult(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	day := deskDay(2)
 	day.Length = 2 * time.Second
@@ -41,6 +43,7 @@
 }
 
 func TestFaultsCauseNoViolation(t *testing.T) {
+	t.Parallel()
 	kinds := []rehearser.FaultKind{
 		rehearser.KillEntry, rehearser.KillAgent, rehearser.FreezeEntry, rehearser.FreezeAgent, rehearser.CutLink,
 		rehearser.CrashMinion, rehearser.SlowMinion, rehearser.StallMinion, rehearser.FailMinion, rehearser.DrainMinion,
@@ -67,6 +70,7 @@
 // In a rush that exceeds what the minions can do, callers of the most urgent
 // route lose a tenth at most, and hardly any job is given up after its start.
 func TestRushServesUrgentCallersAndWastesLittle(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	for _, d := range rehearser.Days(1) {
 		if d.Name != "orders-1.3" {
@@ -83,6 +87,7 @@
 // Agents that know a few of many entries serve callers as well as those that
 // know all, with fewer frames.
 func TestAFewLinksOfEachAgentServeALargeFleet(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	play := func(links int) rehearser.Result {
 		day := rehearser.FleetDay(1)
@@ -103,6 +108,7 @@
 // Entries that are lost together are replaced by others at every agent, so that
 // what is left serves on.
 func TestFleetServesOnAfterHalfOfItsEntriesAreKilled(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	day := rehearser.FleetDay(2)
 	day.Entries, day.DurationFactors, day.Length = 24, day.DurationFactors[:36], 4*time.Second
@@ -122,6 +128,7 @@
 // agent must not start the runs that wait in its queue: their entry has placed
 // them elsewhere.
 func TestClocksThatStopInASuspensionAreDetected(t *testing.T) {
+	t.Parallel()
 	play := func(clockStops bool) []string {
 		var violations []string
 		for seed := range uint64(2) {
@@ -146,6 +153,7 @@
 
 // Reports that arrive after newer ones say nothing of drains and capacities.
 func TestLateStatusReportsRestoreNothing(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	for seed := range uint64(3) {
 		day := deskDay(seed)
@@ -168,6 +176,7 @@
 
 // Entries place work by the capacity that minions have now.
 func TestShrunkMinionsCostLittle(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	day := deskDay(1)
 	for i := range 4 {
@@ -182,6 +191,7 @@
 // Minions that don't guard their capacity get no start beyond it, as far as they
 // have reported it.
 func TestShrunkMinionsAreNotOverfilledInABurst(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	for seed := range uint64(3) {
 		day := deskDay(seed)
--- a/rehearser/sizes_test.go
+++ b/rehearser/sizes_test.go
@@ -10,6 +10,7 @@
 
 // The users' gate asks for half of the served share of all jobs of the route.
 func TestLargestJobsAreServedHalfAsOftenAsAll(t *testing.T) {
+	t.Parallel()
 	for _, name := range []string{"orders-0.9", "orders-1.1", "orders-1.3"} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/rehearser/zones_test.go
+++ b/rehearser/zones_test.go
@@ -45,6 +45,7 @@
 }
 
 func TestNothingStartsInEvacuatedZones(t *testing.T) {
+	t.Parallel()
 	second := time.Second
 	zone := evacuation(2*second, 4*second, 0)
 	alone := zone
@@ -100,6 +101,7 @@
 // At a load of 0.7, 0.97 of what still fits into the room that is left is served on
 // time in the two seconds after an evacuation (issue 30).
 func TestRoomThatIsLeftServesInTime(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	window := []rehearser.Window{{From: 2 * time.Second, To: 4 * time.Second}}
 	with, without := playPaired(t, 8, window, []rehearser.Fault{evacuation(2*time.Second, 4*time.Second, 0)}, nil)
@@ -112,6 +114,7 @@
 // without it, and a return never makes the tail worse than the evacuation did
 // (issue 30).
 func TestColdReturnServesAsBeforeIt(t *testing.T) {
+	t.Parallel()
 	second := time.Second
 	back := rehearser.Fault{Kind: rehearser.EvacuateZone, At: second, For: 2 * second, Cold: 3 * second}
 	windows := []rehearser.Window{{From: 3 * second, To: 5 * second}, {From: 8 * second, To: 9 * second}}
--- a/relayer/chooser.go
+++ b/relayer/chooser.go
@@ -31,7 +31,8 @@
 
 // peerState is what is known of another entry.
 type peerState struct {
-	// outstanding counts the jobs that were handed over and have no result.
+	// outstanding counts the jobs that were handed over and have no result, those
+	// that were withdrawn too.
 	outstanding int
 	// capacity is its processor share in thousandths of a core; 0 if unknown.
 	capacity int
@@ -77,6 +78,11 @@
 	}
 }
 
+// avoid gives a peer no jobs for a while, since it can't be reached.
+func (c *chooser) avoid(now time.Time, peer netip.AddrPort) {
+	c.state(peer).backoffUntil = now.Add(peerBackoff)
+}
+
 // forget drops what is known of entries that are no peers any more.
 func (c *chooser) forget(peers []netip.AddrPort) {
 	for p, s := range c.states {
--- a/relayer/governor.go
+++ b/relayer/governor.go
@@ -21,6 +21,12 @@
 	// comes in bursts leaves a short delay in it; work that exceeds the processor
 	// does not.
 	governorWindow = 20 * time.Millisecond
+	// minObservations is the number of delays in a window from which it can show a
+	// standing queue.
+	minObservations = 2
+	// maxSilentWindows is the number of windows without a delay after which the
+	// last one says nothing any more. It is longer than a processor share pauses.
+	maxSilentWindows = 10
 	// shareRaise and shareFall are added to and subtracted from the share of jobs
 	// that are handed over, after each window.
 	shareRaise = 0.34
@@ -34,12 +40,14 @@
 type Governor struct {
 	// share is the fraction of jobs to hand over, from 0 to 1.
 	share float64
-	// credit is the fraction of a job that is still to be handed over.
+	// credit is the fraction of a job that is still to be handed over; below 1
+	// between two jobs.
 	credit float64
-	// shortest is the shortest delay of the current window, which ends at
-	// windowEnd; zero before the first.
-	shortest  time.Duration
-	windowEnd time.Time
+	// shortest is the shortest of the delays of the current window, observations
+	// is their number, and windowEnd is its end; zero before the first.
+	shortest     time.Duration
+	observations int
+	windowEnd    time.Time
 	// lastShortest is the shortest delay of the window before.
 	lastShortest time.Duration
 }
@@ -51,7 +59,7 @@
 		g.beginWindow(now, delay)
 		return
 	case now.Before(g.windowEnd):
-		g.shortest = min(g.shortest, delay)
+		g.shortest, g.observations = min(g.shortest, delay), g.observations+1
 		return
 	}
 	g.closeWindows(now)
@@ -59,20 +67,25 @@
 }
 
 func (g *Governor) beginWindow(now time.Time, delay time.Duration) {
-	g.shortest, g.windowEnd = delay, now.Add(governorWindow)
+	g.shortest, g.observations, g.windowEnd = delay, 1, now.Add(governorWindow)
 }
 
 // closeWindows adjusts the share by the window that has ended, and lowers it for
 // the windows without an observation, in which hardly anything arrived.
 func (g *Governor) closeWindows(now time.Time) {
+	silent := int(now.Sub(g.windowEnd) / governorWindow)
+	if silent > maxSilentWindows {
+		g.shortest = 0 // Nothing has waited meanwhile.
+	}
 	g.lastShortest = g.shortest
 	switch {
+	case g.observations < minObservations && g.shortest > targetDelay:
+		// A single delay shows no standing queue.
 	case g.shortest > criticalDelay:
 		g.share = 1
 	case g.shortest > targetDelay:
 		g.share = min(1, g.share+shareRaise)
 	case g.shortest < relaxedDelay:
-		silent := int(now.Sub(g.windowEnd) / governorWindow)
 		g.share = max(0, g.share-shareFall*float64(1+silent))
 	}
 	if g.share == 0 {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -77,10 +77,14 @@
 	entries, peers []netip.AddrPort
 	// relayed holds the jobs at other entries, by id.
 	relayed map[string]*relayedJob
+	// local counts the calls that run a job at this entry, by id; never 0. Such a
+	// job is not handed over when it is submitted again.
+	local map[string]int
 	// nextProbe is the time of the next measurement.
 	nextProbe time.Time
 	// loggedAt is the time of the last log line on the share.
 	loggedAt time.Time
+	// relaying is what the last of these log lines said.
 	relaying bool
 
 	handedOver, refused, taken metrics.Counter
@@ -101,7 +105,7 @@
 // New returns a relayer that hands nothing over yet.
 func New(o Options) *Relayer {
 	return &Relayer{
-		options: o, relayed: make(map[string]*relayedJob), chooser: chooser{random: o.Random, states: make(map[netip.AddrPort]*peerState)},
+		options: o, relayed: make(map[string]*relayedJob), local: make(map[string]int), chooser: chooser{random: o.Random, states: make(map[netip.AddrPort]*peerState)},
 		handedOver: metrics.GetOrRegisterCounter("jobs-handed-over", o.Metrics),
 		refused:    metrics.GetOrRegisterCounter("jobs-not-taken", o.Metrics),
 		taken:      metrics.GetOrRegisterCounter("jobs-taken-over", o.Metrics),
@@ -119,35 +123,56 @@
 	r.Probe()
 	j := r.handOver(job)
 	if j == nil {
-		return r.options.Jobs.Submit(ctx, job)
+		return r.runHere(ctx, job)
 	}
 	select {
 	case <-j.done:
-		r.leave(job.ID, j)
 	case <-ctx.Done():
-		r.leave(job.ID, j)
+		r.leave(job.ID, j, false)
 		return jobber.Result{Outcome: work.Unfinished, Reason: "the caller has left"}
 	}
+	r.leave(job.ID, j, !j.taken)
 	if !j.taken {
-		return r.options.Jobs.Submit(ctx, job)
+		return r.runHere(ctx, job)
 	}
 	r.options.Log.Info("relayer: Answered a job that another entry ran", "job", job.ID, "entry", j.peer, "outcome", j.result.Outcome.String(),
 		"reason", j.result.Reason, "age", clock.Since(job.Arrived))
 	return j.result
 }
 
+// runHere runs a job that is counted in local.
+func (r *Relayer) runHere(ctx context.Context, job work.Job) jobber.Result {
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.local[job.ID]--; r.local[job.ID] == 0 {
+			delete(r.local, job.ID)
+		}
+	}()
+	return r.options.Jobs.Submit(ctx, job)
+}
+
 // TakeOver runs a job that another entry hands over. It returns false at once if
 // this entry has no processor time to spare or can't run jobs.
 func (r *Relayer) TakeOver(ctx context.Context, job work.Job) (jobber.Result, bool) {
 	r.Probe()
-	r.mu.Lock()
-	takes := r.governor.Takes() && r.relayed[job.ID] == nil
-	r.mu.Unlock()
-	if !takes || r.options.Leaving() || r.options.Jobs.UsableAgents() == 0 {
+	if ctx.Err() != nil || r.options.Leaving() || r.options.Jobs.UsableAgents() == 0 || !r.take(job.ID) {
 		return jobber.Result{}, false
 	}
 	r.taken.Inc(1)
-	return r.options.Jobs.Submit(ctx, job), true
+	return r.runHere(ctx, job), true
+}
+
+// take reports whether a job of another entry is taken, and then counts it in
+// local.
+func (r *Relayer) take(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.governor.Takes() || r.relayed[id] != nil {
+		return false
+	}
+	r.local[id]++
+	return true
 }
 
 // Probe measures the time that work waits for the processor, at most every
@@ -175,7 +200,7 @@
 }
 
 // handOver sends a job to another entry if this one is short of processor time. It
-// returns nil if the job is to run here.
+// returns nil if the job is to run here, where it is then counted in local.
 func (r *Relayer) handOver(job work.Job) *relayedJob {
 	now := clock.Now()
 	r.mu.Lock()
@@ -184,25 +209,35 @@
 		j.callers++
 		return j
 	}
-	if !r.governor.HandOver() {
-		return nil
+	if r.local[job.ID] == 0 && r.governor.HandOver() {
+		if j := r.carry(now, job); j != nil {
+			return j
+		}
 	}
+	r.local[job.ID]++
+	return nil
+}
+
+// carry sends a job to the first of the peers that can be reached, or returns nil.
+func (r *Relayer) carry(now time.Time, job work.Job) *relayedJob {
 	r.updatePeers()
 	for _, p := range r.peers {
 		r.chooser.state(p).capacity = r.options.Carrier.Capacity(p)
 	}
-	peer, found := r.chooser.choose(now, r.peers)
-	if !found {
-		return nil
-	}
-	j := &relayedJob{peer: peer, callers: 1, done: make(chan struct{})}
-	if !r.options.Carrier.Carry(peer, job, func(result jobber.Result, taken bool) { r.finish(j, result, taken) }) {
-		return nil
+	for {
+		peer, found := r.chooser.choose(now, r.peers)
+		if !found {
+			return nil
+		}
+		j := &relayedJob{peer: peer, callers: 1, done: make(chan struct{})}
+		if r.options.Carrier.Carry(peer, job, func(result jobber.Result, taken bool) { r.finish(j, result, taken) }) {
+			r.chooser.handedOver(peer)
+			r.relayed[job.ID] = j
+			r.handedOver.Inc(1)
+			return j
+		}
+		r.chooser.avoid(now, peer)
 	}
-	r.chooser.handedOver(peer)
-	r.relayed[job.ID] = j
-	r.handedOver.Inc(1)
-	return j
 }
 
 // finish records the result of a job at another entry.
@@ -218,9 +253,14 @@
 }
 
 // leave removes a caller of a job. The last one withdraws a job without a result.
-func (r *Relayer) leave(id string, j *relayedJob) {
+// If the job is to run here, it is counted in local before it can be handed over
+// again.
+func (r *Relayer) leave(id string, j *relayedJob, runsHere bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if runsHere {
+		r.local[id]++
+	}
 	if j.callers--; j.callers > 0 {
 		return
 	}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -22,9 +22,15 @@
 type localJobs struct {
 	mu        sync.Mutex
 	submitted []string
+	// block, if not nil, delays answers until it is closed; entered tells of jobs.
+	block, entered chan struct{}
 }
 
 func (l *localJobs) Submit(_ context.Context, job work.Job) jobber.Result {
+	if l.block != nil {
+		l.entered <- struct{}{}
+		<-l.block
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.submitted = append(l.submitted, job.ID)
@@ -119,6 +125,25 @@
 	is.Equal(len(jobs.submitted), 0)
 }
 
+// A job that was submitted before the overload joins its run when it comes again.
+func TestJobThatRunsHereIsNotHandedOverWhenItComesAgain(t *testing.T) {
+	is := is.New(t)
+	jobs, c := &localJobs{block: make(chan struct{}), entered: make(chan struct{}, 2)}, &carrier{carried: make(chan func(jobber.Result, bool), 1), closed: true}
+	r := newOverloaded(t, jobs, c)
+	results := make(chan jobber.Result, 2)
+	submit := func() { results <- r.Submit(context.Background(), work.Job{ID: "a", Arrived: clock.Now()}) }
+	go submit() // The other entry can't be reached yet.
+	<-jobs.entered
+	time.Sleep(200 * time.Millisecond) // The peer may be given jobs again.
+	c.closed = false
+	go submit()
+	<-jobs.entered
+	close(jobs.block)
+	is.Equal((<-results).Outcome, work.Succeeded)
+	is.Equal((<-results).Outcome, work.Succeeded)
+	is.Equal(len(c.carried), 0)
+}
+
 func TestLastCallerThatLeavesWithdrawsTheJob(t *testing.T) {
 	is := is.New(t)
 	jobs, c := &localJobs{}, &carrier{carried: make(chan func(jobber.Result, bool), 1)}
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -63,7 +63,7 @@
 		return "", 0 // Agents are still connecting, so it isn't known what can be served.
 	case !f.fitting:
 		return "no minion in reach of this entry can hold its tasks", minRetryAfter
-	case !f.available && c.onlyEvacuated(j):
+	case !f.available && c.onlyEvacuated(now, j):
 		return reasonEvacuated, maxRetryAfter
 	case !f.available:
 		return "no minion of the service is in reach", c.retryAfterReturn(now, j)
--- a/scheduler/locality.go
+++ b/scheduler/locality.go
@@ -39,15 +39,18 @@
 	return s == anywhere || a.hasData(j) == (s == nearData)
 }
 
+// rackOfService is the part of a service's minions that is on one rack.
+type rackOfService struct{ service, rack string }
+
 // locality is what an entry knows about tasks with data on one rack.
 type locality struct {
 	learner *colocator.Learner
 	// wantedUntil has the racks on which tasks with data there found no room.
-	wantedUntil map[string]time.Time
+	wantedUntil map[rackOfService]time.Time
 }
 
 func newLocality(factor float64) locality {
-	return locality{learner: colocator.NewLearner(factor), wantedUntil: make(map[string]time.Time)}
+	return locality{learner: colocator.NewLearner(factor), wantedUntil: make(map[rackOfService]time.Time)}
 }
 
 // dataWait is a wait for room near the data of a task.
@@ -55,6 +58,9 @@
 	since time.Time
 	// until is the time after which the task goes elsewhere; zero without a wait.
 	until time.Time
+	// limit is the first end of the task's waits, past which none of them goes; zero
+	// before the first.
+	limit time.Time
 	// computed is the wait that followed from the load of the rack at its begin.
 	computed time.Duration
 	// elsewhere is the agent that the task would have been sent to at the begin,
@@ -113,7 +119,7 @@
 		return 0
 	}
 	for _, label := range a.minion.Labels {
-		if now.Before(l.wantedUntil[label]) {
+		if now.Before(l.wantedUntil[rackOfService{a.minion.Service, label}]) {
 			return wantedPenalty
 		}
 	}
@@ -131,11 +137,11 @@
 }
 
 // want records that a rack has no room for a task with data there.
-func (l *locality) want(now time.Time, rack string) {
+func (l *locality) want(now time.Time, service, rack string) {
 	if len(l.wantedUntil) >= maxWantedRacks {
 		clear(l.wantedUntil)
 	}
-	l.wantedUntil[rack] = now.Add(wantedFor)
+	l.wantedUntil[rackOfService{service, rack}] = now.Add(wantedFor)
 }
 
 // observeLocality learns from a run that was done.
@@ -151,6 +157,7 @@
 func (c *Core) chooseByLocality(now time.Time, t *task, suspected bool) (chosen *agent, noCandidate bool) {
 	j := t.job
 	if j.Rack == "" || j.DataWait.MaxWait <= 0 || suspected {
+		c.endDataWait(now, t, nil, colocator.Disabled)
 		return c.chooseAgent(now, t, suspected, anywhere)
 	}
 	near, computed := c.surveyNear(now, t)
@@ -159,7 +166,7 @@
 	nearSpread, awaySpread := c.locality.learner.Spread(j.Route)
 	q := colocator.Question{
 		Policy: j.DataWait, Near: near, NearHasRoom: nearAgent != nil, Objective: j.objective, Deadline: j.Deadline,
-		WaitingUntil: t.dataWait.until, Random: c.options.Random.Float64(),
+		WaitingUntil: t.dataWait.limit, Random: c.options.Random.Float64(),
 	}
 	if nearAgent != nil {
 		q.Near = nearAgent.offer(j)
@@ -170,18 +177,21 @@
 		q.Away.Spread = awaySpread
 	}
 	if near.Exists && (nearAgent == nil || nearAgent.expectedWait(j.Room) > 0) {
-		c.locality.want(now, j.Rack)
+		c.locality.want(now, j.Service, j.Rack)
 	}
 	d := colocator.Decide(now, q)
 	switch d.Choice {
 	case colocator.Wait:
 		if !t.awaitsData() {
 			t.dataWait = dataWait{
-				since: now, computed: computed, elsewhere: awayAgent.id,
+				since: now, limit: t.dataWait.limit, computed: computed, elsewhere: awayAgent.id,
 				elsewhereWait: q.Away.Wait, elsewhereEnd: now.Add(q.Away.Wait + q.Away.Runtime),
 			}
 		}
 		t.dataWait.until = d.Until
+		if t.dataWait.limit.IsZero() {
+			t.dataWait.limit = d.Until
+		}
 		return nil, false
 	case colocator.Near:
 		c.endDataWait(now, t, nearAgent, d.Reason)
@@ -240,7 +250,7 @@
 	if !t.awaitsData() {
 		return
 	}
-	t.dataWait = dataWait{}
+	t.dataWait = dataWait{limit: w.limit}
 	waited := now.Sub(w.since)
 	c.locality.learner.ObserveWait(t.job.Rack, waited, w.computed, near != nil)
 	ended := DataWaitEnded{
--- a/scheduler/moving.go
+++ b/scheduler/moving.go
@@ -159,7 +159,7 @@
 func (c *Core) giveUpReason(now time.Time, t *task, reachable bool) string {
 	j := t.job
 	switch {
-	case !c.inAgentGrace(now) && c.onlyEvacuated(j):
+	case !j.mayHaveStarted && !c.inAgentGrace(now) && c.onlyEvacuated(now, j):
 		return reasonEvacuated
 	case !reachable && !c.awaitsReturn(now, j):
 		return "no minion is in reach"
--- a/scheduler/zones.go
+++ b/scheduler/zones.go
@@ -119,11 +119,15 @@
 }
 
 // onlyEvacuated reports whether all minions in reach that could run a job are in
-// evacuated zones.
-func (c *Core) onlyEvacuated(j *job) bool {
+// evacuated zones. A link that was lost a moment ago may be back.
+func (c *Core) onlyEvacuated(now time.Time, j *job) bool {
+	if len(c.evacuation.decision.Evacuated) == 0 {
+		return false
+	}
 	evacuated := false
 	for _, a := range c.sortedAgents {
-		if a.link == 0 || a.leaving || a.minion.Draining || a.minion.Service != j.Service || !a.fits(j) {
+		lost := a.link == 0 && now.Sub(a.disconnectedAt) > agentGracePeriod
+		if lost || a.leaving || a.minion.Draining || a.minion.Service != j.Service || !a.fits(j) {
 			continue
 		}
 		if !a.evacuated {
--- a/supervisor/events.go
+++ b/supervisor/events.go
@@ -252,11 +252,9 @@
 	if m.departed || ev.Minion.Sequence < m.Sequence {
 		return
 	}
-	if ev.Minion.ColdUntil.After(now) && !m.ColdUntil.After(now) {
-		c.beginSlowStart(now, ev.Minion.ColdUntil)
-	}
+	c.observeCold(now, ev.Minion.ColdUntil)
 	startsDraining := ev.Minion.Draining && !m.Draining
-	changed := startsDraining || ev.Minion.Room != m.Room || !slices.Equal(ev.Minion.Labels, m.Labels)
+	changed := startsDraining || ev.Minion.Room != m.Room || ev.Minion.Zone != m.Zone || !slices.Equal(ev.Minion.Labels, m.Labels)
 	m.Minion = ev.Minion
 	if startsDraining {
 		c.refuseQueued(now, work.ReasonLeaving)
--- a/supervisor/slowstart.go
+++ b/supervisor/slowstart.go
@@ -50,12 +50,23 @@
 // show how slow it is. What it was before says little of that.
 func (c *Core) beginSlowStart(now, coldUntil time.Time) {
 	c.slowStart.begin(now, coldUntil)
-	c.slowness.samples = 0
+	c.slowness.samples, c.slowness.updatedAt = 0, now
 	if coldUntil.After(now) {
 		c.slowness.current = c.slowness.baseline + coldSlowness
 	}
 }
 
+// observeCold begins or ends the slow start by what the minion says of itself.
+func (c *Core) observeCold(now, coldUntil time.Time) {
+	wasCold := c.minion.ColdUntil.After(now)
+	switch cold := coldUntil.After(now); {
+	case cold && !wasCold:
+		c.beginSlowStart(now, coldUntil)
+	case !cold && wasCold:
+		c.slowStart = slowStart{}
+	}
+}
+
 // withheldCPU returns the free CPU of the minion that is not used while it is
 // cold.
 func (c *Core) withheldCPU(now time.Time) int64 {
