relayer: Count silence until work began to wait, react to one observation

Causes: a wait of more than 0.2 s for the processor counted as silence, so that the share fell in the worst moments; a window with one observation raised nothing; and a job tried all entries that it had no stream to, which opened them all at once.

--- a/relayer/governor.go
+++ b/relayer/governor.go
@@ -21,9 +21,6 @@
 	// comes in bursts leaves a short delay in it; work that exceeds the processor
 	// does not.
 	governorWindow = 20 * time.Millisecond
-	// minObservations is the number of delays in a window from which it can show a
-	// standing queue.
-	minObservations = 2
 	// maxSilentWindows is the number of windows without a delay after which the
 	// last one says nothing any more. It is longer than a processor share pauses.
 	maxSilentWindows = 10
@@ -43,11 +40,10 @@
 	// credit is the fraction of a job that is still to be handed over; below 1
 	// between two jobs.
 	credit float64
-	// shortest is the shortest of the delays of the current window, observations
-	// is their number, and windowEnd is its end; zero before the first.
-	shortest     time.Duration
-	observations int
-	windowEnd    time.Time
+	// shortest is the shortest delay of the current window, which ends at
+	// windowEnd; zero before the first.
+	shortest  time.Duration
+	windowEnd time.Time
 	// lastShortest is the shortest delay of the window before.
 	lastShortest time.Duration
 }
@@ -59,28 +55,27 @@
 		g.beginWindow(now, delay)
 		return
 	case now.Before(g.windowEnd):
-		g.shortest, g.observations = min(g.shortest, delay), g.observations+1
+		g.shortest = min(g.shortest, delay)
 		return
 	}
-	g.closeWindows(now)
+	g.closeWindows(now.Add(-delay))
 	g.beginWindow(now, delay)
 }
 
 func (g *Governor) beginWindow(now time.Time, delay time.Duration) {
-	g.shortest, g.observations, g.windowEnd = delay, 1, now.Add(governorWindow)
+	g.shortest, g.windowEnd = delay, now.Add(governorWindow)
 }
 
 // closeWindows adjusts the share by the window that has ended, and lowers it for
-// the windows without an observation, in which hardly anything arrived.
-func (g *Governor) closeWindows(now time.Time) {
-	silent := int(now.Sub(g.windowEnd) / governorWindow)
+// the windows without an observation until the next one began, in which hardly
+// anything arrived.
+func (g *Governor) closeWindows(next time.Time) {
+	silent := max(0, int(next.Sub(g.windowEnd)/governorWindow))
 	if silent > maxSilentWindows {
 		g.shortest = 0 // Nothing has waited meanwhile.
 	}
 	g.lastShortest = g.shortest
 	switch {
-	case g.observations < minObservations && g.shortest > targetDelay:
-		// A single delay shows no standing queue.
 	case g.shortest > criticalDelay:
 		g.share = 1
 	case g.shortest > targetDelay:
--- a/relayer/governor_test.go
+++ b/relayer/governor_test.go
@@ -53,6 +53,20 @@
 	is.True(!g.Takes())
 }
 
+// Work that waits longer than the silence after which a window counts no more is
+// overload all the same.
+func TestLongWaitsAreNoSilence(t *testing.T) {
+	is := is.New(t)
+	var g relayer.Governor
+	now := start
+	for range 10 {
+		now = now.Add(500 * time.Millisecond)
+		g.Observe(now, 480*time.Millisecond)
+		g.Observe(now.Add(time.Millisecond), 470*time.Millisecond)
+	}
+	is.Equal(g.Share(), 1.0)
+}
+
 func TestJobsComeBackAfterAnOverload(t *testing.T) {
 	is := is.New(t)
 	var g relayer.Governor
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -20,6 +20,9 @@
 	// probeInterval is the minimum interval between two measurements of the time
 	// that work waits for the processor.
 	probeInterval = 2 * time.Millisecond
+	// maxCarryAttempts is the number of entries that are tried for one job. Each
+	// attempt may open a stream, which takes processor time.
+	maxCarryAttempts = 2
 	// logInterval is the minimum interval between two log lines on the share of
 	// jobs that are handed over.
 	logInterval = time.Second
@@ -218,13 +221,14 @@
 	return nil
 }
 
-// carry sends a job to the first of the peers that can be reached, or returns nil.
+// carry sends a job to one of the peers, or returns nil if the first ones that suit
+// it best can't be reached now.
 func (r *Relayer) carry(now time.Time, job work.Job) *relayedJob {
 	r.updatePeers()
 	for _, p := range r.peers {
 		r.chooser.state(p).capacity = r.options.Carrier.Capacity(p)
 	}
-	for {
+	for range maxCarryAttempts {
 		peer, found := r.chooser.choose(now, r.peers)
 		if !found {
 			return nil
@@ -238,6 +242,7 @@
 		}
 		r.chooser.avoid(now, peer)
 	}
+	return nil
 }
 
 // finish records the result of a job at another entry.
