supervisor, minder: Log and count the status reports that are ignored

The logs could not tell a report that never reached the core from one that the core dropped, or from an entry that went on placing. Cause: the core dropped late reports without a trace.

--- a/minder/minder.go
+++ b/minder/minder.go
@@ -96,9 +96,9 @@
 
 // counts holds the metrics of a Minder.
 type counts struct {
-	starts, unanswered, refused, stops, renewals, renewalsFailed metrics.Counter
-	ends                                                         map[work.State]metrics.Counter
-	startTime, runTime                                           metrics.Timer
+	starts, unanswered, refused, stops, renewals, renewalsFailed, reportsIgnored metrics.Counter
+	ends                                                                         map[work.State]metrics.Counter
+	startTime, runTime                                                           metrics.Timer
 	// idle is 1 while no runs are held for any entry.
 	idle metrics.Gauge
 }
@@ -131,6 +131,7 @@
 		stops:          metrics.GetOrRegisterCounter("stops-ordered", r),
 		renewals:       metrics.GetOrRegisterCounter("lease-renewals", r),
 		renewalsFailed: metrics.GetOrRegisterCounter("lease-renewals-failed", r),
+		reportsIgnored: metrics.GetOrRegisterCounter("status-reports-ignored", r),
 		ends:           make(map[work.State]metrics.Counter),
 		startTime:      metrics.GetOrRegisterTimer("start-order", r),
 		runTime:        metrics.GetOrRegisterTimer("run", r),
@@ -225,6 +226,11 @@
 		m.goroutines.Go(func() { m.renewLease(ctx, c) })
 	case supervisor.CutLink:
 		m.options.Cut(c.Link)
+	case supervisor.IgnoreDescription:
+		m.metrics.reportsIgnored.Inc(1)
+		m.options.Log.Info("supervisor: Ignored a status report", "minion", c.Ignored.Name, "reason", c.Reason, "draining", c.Ignored.Draining,
+			"incarnation", c.Ignored.Incarnation, "sequence", c.Ignored.Sequence,
+			"current-incarnation", c.Current.Incarnation, "current-sequence", c.Current.Sequence)
 	case supervisor.LogMessage:
 		m.options.Log.Info("supervisor: "+c.Text, "entry", c.Entry, "reason", c.Reason, "count", c.Count,
 			"minion", c.Minion.Name, "incarnation", c.Minion.Incarnation)
--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -100,6 +100,13 @@
 	ListOnly bool
 }
 
+// IgnoreDescription notes that a description of the minion was not taken.
+type IgnoreDescription struct {
+	// Ignored is the description, and Current the one that stays in force.
+	Ignored, Current work.Minion
+	Reason           string
+}
+
 // LogMessage writes a message to the log.
 type LogMessage struct {
 	Text   string
@@ -109,14 +116,15 @@
 	Minion work.Minion
 }
 
-func (ReportSnapshot) command() {}
-func (ReportRun) command()      {}
-func (ReportLoad) command()     {}
-func (ReportMinion) command()   {}
-func (ReportZones) command()    {}
-func (ReportCrash) command()    {}
-func (CutLink) command()        {}
-func (StartRun) command()       {}
-func (StopRun) command()        {}
-func (RenewLease) command()     {}
-func (LogMessage) command()     {}
+func (ReportSnapshot) command()    {}
+func (ReportRun) command()         {}
+func (ReportLoad) command()        {}
+func (ReportMinion) command()      {}
+func (ReportZones) command()       {}
+func (ReportCrash) command()       {}
+func (CutLink) command()           {}
+func (StartRun) command()          {}
+func (StopRun) command()           {}
+func (RenewLease) command()        {}
+func (IgnoreDescription) command() {}
+func (LogMessage) command()        {}
--- a/supervisor/events.go
+++ b/supervisor/events.go
@@ -243,13 +243,19 @@
 func (ev MinionDescribed) apply(c *Core, now time.Time) {
 	m := &c.minion
 	if m.known() && ev.Minion.Incarnation < m.Incarnation {
-		return // A late description of an earlier incarnation.
+		c.ignoreDescription(ev.Minion, "it is of an earlier incarnation")
+		return
 	}
 	if ev.Minion.Name != m.Name || ev.Minion.Incarnation > m.Incarnation {
 		c.replaceMinion(now, ev.Minion)
 		return
 	}
-	if m.departed || ev.Minion.Sequence < m.Sequence {
+	if m.departed {
+		c.ignoreDescription(ev.Minion, "the minion has left")
+		return
+	}
+	if ev.Minion.Sequence < m.Sequence {
+		c.ignoreDescription(ev.Minion, "a later one has arrived")
 		return
 	}
 	c.observeCold(now, ev.Minion.ColdUntil)
@@ -265,6 +271,11 @@
 	}
 }
 
+// ignoreDescription notes that a description was not taken.
+func (c *Core) ignoreDescription(m work.Minion, reason string) {
+	c.emit(IgnoreDescription{Ignored: m, Current: c.minion.Minion, Reason: reason})
+}
+
 // refuseUnfit refuses the queued runs that need more than the minion's whole
 // capacity, which may have shrunk.
 func (c *Core) refuseUnfit(now time.Time) {
