supervisor: Give a restarted minion no runs before it describes itself

Cause: when a list shows another incarnation, the agent copied the description of the earlier one, sequence number included. The new incarnation numbers its reports from 1, so all of them were dropped as late ones until they had passed the old number: draining, capacity and labels. In between, and until the first report of a restarted minion at least, runs were given out by the room and labels of the earlier incarnation, though it may return as one of another kind. Ruled out: reports that don't arrive (the core gets each), entries that place on (the agent tells them draining=false), reports of an earlier incarnation. Change: a list only says that there is a new incarnation. It is polled, and gets no runs until it has described itself; its first report is taken whatever its number. Entries are told when a usable minion turns out to have restarted. Why it works: no field of the earlier description takes part in a decision, so there is no number to compare with and no room or label to place by.

--- a/supervisor/answers.go
+++ b/supervisor/answers.go
@@ -87,9 +87,7 @@
 		m.renewalInFlight = false
 	}
 	if ev.Incarnation != 0 && ev.Incarnation != m.Incarnation {
-		next := m.Minion
-		next.Incarnation, next.Draining = ev.Incarnation, false
-		c.replaceMinion(now, next)
+		c.awaitDescription(now, ev.Incarnation)
 		return
 	}
 	m.observeClock(now, ev.Clock)
@@ -102,7 +100,22 @@
 		return
 	}
 	m.reconciled = true
-	c.reportMinion()
+	if m.described {
+		c.reportMinion()
+	}
+}
+
+// awaitDescription switches to an incarnation that has not described itself yet. It
+// gets no runs until then, since it may be of another kind or draining.
+func (c *Core) awaitDescription(now time.Time, incarnation uint64) {
+	wasUsable := c.minion.usable()
+	next := c.minion.Minion
+	next.Incarnation, next.Sequence, next.Draining, next.ColdUntil = incarnation, 0, false, time.Time{}
+	c.replaceMinion(now, next)
+	c.minion.described = false
+	if wasUsable {
+		c.reportMinion()
+	}
 }
 
 // handleEnd handles an end that the minion lists.
--- a/supervisor/events.go
+++ b/supervisor/events.go
@@ -260,8 +260,8 @@
 	}
 	c.observeCold(now, ev.Minion.ColdUntil)
 	startsDraining := ev.Minion.Draining && !m.Draining
-	changed := startsDraining || ev.Minion.Room != m.Room || ev.Minion.Zone != m.Zone || !slices.Equal(ev.Minion.Labels, m.Labels)
-	m.Minion = ev.Minion
+	changed := !m.described || startsDraining || ev.Minion.Room != m.Room || ev.Minion.Zone != m.Zone || !slices.Equal(ev.Minion.Labels, m.Labels)
+	m.Minion, m.described = ev.Minion, true
 	if startsDraining {
 		c.refuseQueued(now, work.ReasonLeaving)
 	}
@@ -298,7 +298,7 @@
 	renewalInFlight, listInFlight := c.minion.renewalInFlight, c.minion.listInFlight
 	c.loseRunsInCrash(now)
 	c.refuseQueued(now, work.ReasonUnreachable)
-	c.minion = minionState{Minion: m, renewalInFlight: renewalInFlight, listInFlight: listInFlight}
+	c.minion = minionState{Minion: m, described: true, renewalInFlight: renewalInFlight, listInFlight: listInFlight}
 	c.slowness, c.slowStart = slownessEstimator{}, slowStart{}
 	if m.ColdUntil.After(now) {
 		c.beginSlowStart(now, m.ColdUntil)
--- /dev/null
+++ b/supervisor/incarnation_test.go
@@ -0,0 +1,68 @@
+package supervisor_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"agatevalve/common/work"
+	"agatevalve/supervisor"
+)
+
+// described returns the description of an incarnation of the minion.
+func described(incarnation, sequence uint64, change func(m *work.Minion)) supervisor.MinionDescribed {
+	m := minion(incarnation)
+	m.Sequence = sequence
+	if change != nil {
+		change(&m)
+	}
+	return supervisor.MinionDescribed{Minion: m}
+}
+
+// restartMinion lets the minion restart under its name. The agent notices it by a
+// list, before the new incarnation has described itself.
+func (b *bench) restartMinion() []supervisor.Command {
+	b.step(described(1, 13, nil))
+	out := b.listOf(2)
+	return append(out, b.listOf(2)...)
+}
+
+// listOf steps the core with an empty list of an incarnation.
+func (b *bench) listOf(incarnation uint64) []supervisor.Command {
+	return b.step(supervisor.RunsListed{Incarnation: incarnation, RequestedAt: b.now, Clock: time.Second})
+}
+
+// Guards against starts at a draining minion: its reports were taken for late ones,
+// since they were numbered from 1 again after a restart.
+func TestRestartedMinionThatDrainsGetsNoRuns(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	b.restartMinion()
+	b.step(described(2, 1, nil))
+	is.Equal(len(find[supervisor.StartRun](b.step(b.order("before", 1000)))), 1)
+	told := find[supervisor.ReportMinion](b.step(described(2, 5, func(m *work.Minion) { m.Draining = true })))
+	is.Equal(len(told), 1)
+	is.True(told[0].Minion.Draining)
+	is.Equal(ends(b.step(b.order("after", 1000)))[0].Reason, work.ReasonLeaving)
+}
+
+// Guards against starts by the room and labels of an earlier incarnation: a minion
+// may return as one of another kind.
+func TestRestartedMinionIsUsedOnceItDescribesItself(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	told := find[supervisor.ReportMinion](b.restartMinion())
+	is.Equal(len(told), 1)
+	is.True(!told[0].Usable)
+	is.Equal(ends(b.step(b.order("early", 1000)))[0].Reason, work.ReasonUnreachable)
+	told = find[supervisor.ReportMinion](b.step(described(2, 1, func(m *work.Minion) {
+		m.Room.CPU, m.Labels, m.ColdUntil = 2000, []string{"b"}, b.now.Add(time.Second)
+	})))
+	is.Equal(len(told), 1)
+	is.True(told[0].Usable)
+	is.Equal(told[0].Minion.Labels, []string{"b"})
+	is.Equal(ends(b.step(b.order("wide", 3000)))[0].Reason, work.ReasonUnfit)
+	is.Equal(len(find[supervisor.StartRun](b.step(b.order("fits", 1000)))), 1)
+	is.Equal(len(find[supervisor.StartRun](b.step(b.order("waits", 1000)))), 0) // The minion is cold.
+}
--- a/supervisor/minion.go
+++ b/supervisor/minion.go
@@ -14,10 +14,15 @@
 // read in whole milliseconds.
 const leaseMargin = 5 * time.Millisecond
 
-// minionState is the state of the agent's minion, as known to the agent.
+// minionState is what the agent knows of one incarnation of its minion. Nothing of
+// it holds for another one, which counts its descriptions and ends from 1 and has
+// its own clock.
 type minionState struct {
 	work.Minion
 
+	// described is true once this incarnation has described itself. Until then only
+	// Name and Incarnation are certain, and the rest stands for what it may be.
+	described bool
 	// lastAnswerAt is the time at which the minion last answered a renewal;
 	// zero if it never did.
 	lastAnswerAt time.Time
@@ -58,7 +63,7 @@
 
 // usable reports whether the minion may be given runs.
 func (m *minionState) usable() bool {
-	return m.known() && m.reconciled && !m.Draining
+	return m.known() && m.described && m.reconciled && !m.Draining
 }
 
 // minClock returns the earliest time that the minion's clock may show.
