supervisor: Ignore late lists of an earlier incarnation

A list of the earlier incarnation that is overtaken by the first report of the new one counted as one more restart: the runs of the new incarnation were reported as lost in a crash while they went on, so entries start them again beside themselves, and take them for suspects of a crash. Cause: any other incarnation number in a list counted as a newer one. Change: the agent keeps the time at which it learned of the incarnation. A list with a lower number that was requested before is ignored, with a log line. One requested afterwards can't come from an earlier incarnation, whatever its number, so a minion that restarts after its clock was set back is used. Measured: TestLateListOfEarlierIncarnationLosesNoRuns failed before (one run lost) and passes; TestRestartedMinionWithEarlierClockIsUsed holds before and after.

--- a/supervisor/answers.go
+++ b/supervisor/answers.go
@@ -87,6 +87,10 @@
 		m.renewalInFlight = false
 	}
 	if ev.Incarnation != 0 && ev.Incarnation != m.Incarnation {
+		if m.isEarlier(ev.Incarnation, ev.RequestedAt) {
+			c.emit(LogMessage{Text: "Ignored a late list of an earlier incarnation", Minion: m.Minion})
+			return
+		}
 		c.awaitDescription(now, ev.Incarnation)
 		return
 	}
--- a/supervisor/events.go
+++ b/supervisor/events.go
@@ -298,7 +298,7 @@
 	renewalInFlight, listInFlight := c.minion.renewalInFlight, c.minion.listInFlight
 	c.loseRunsInCrash(now)
 	c.refuseQueued(now, work.ReasonUnreachable)
-	c.minion = minionState{Minion: m, described: true, renewalInFlight: renewalInFlight, listInFlight: listInFlight}
+	c.minion = minionState{Minion: m, described: true, since: now, renewalInFlight: renewalInFlight, listInFlight: listInFlight}
 	c.slowness, c.slowStart = slownessEstimator{}, slowStart{}
 	if m.ColdUntil.After(now) {
 		c.beginSlowStart(now, m.ColdUntil)
--- a/supervisor/incarnation_test.go
+++ b/supervisor/incarnation_test.go
@@ -66,3 +66,32 @@
 	is.Equal(len(find[supervisor.StartRun](b.step(b.order("fits", 1000)))), 1)
 	is.Equal(len(find[supervisor.StartRun](b.step(b.order("waits", 1000)))), 0) // The minion is cold.
 }
+
+// Guards against runs that are taken for lost while they go on: a list of the
+// earlier incarnation, which was overtaken, counted as another restart.
+func TestLateListOfEarlierIncarnationLosesNoRuns(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	asked := b.now
+	b.step(described(2, 1, nil))
+	b.listOf(2)
+	b.step(b.order("a", 1000))
+	b.step(supervisor.StartAnswered{Run: run("a"), Incarnation: 2, Answer: supervisor.StartAccepted})
+	out := b.step(supervisor.RunsListed{Incarnation: 1, RequestedAt: asked, Clock: time.Hour})
+	is.Equal(len(ends(out)), 0)
+	is.Equal(len(find[supervisor.StartRun](b.step(b.order("b", 1000)))), 1)
+}
+
+// Guards against a minion that is ignored for good: its clock was set back before
+// it restarted, so its incarnation number is lower.
+func TestRestartedMinionWithEarlierClockIsUsed(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	b.step(described(2, 1, nil))
+	b.listOf(2)
+	b.step()
+	b.listOf(1)
+	b.listOf(1)
+	b.step(described(1, 1, nil))
+	is.Equal(len(find[supervisor.StartRun](b.step(b.order("a", 1000)))), 1)
+}
--- a/supervisor/minion.go
+++ b/supervisor/minion.go
@@ -23,6 +23,9 @@
 	// described is true once this incarnation has described itself. Until then only
 	// Name and Incarnation are certain, and the rest stands for what it may be.
 	described bool
+	// since is the time at which the agent learned of this incarnation. What was
+	// requested later can't come from an earlier one.
+	since time.Time
 	// lastAnswerAt is the time at which the minion last answered a renewal;
 	// zero if it never did.
 	lastAnswerAt time.Time
@@ -66,6 +69,13 @@
 	return m.known() && m.described && m.reconciled && !m.Draining
 }
 
+// isEarlier reports whether the answer to a request comes from an incarnation before
+// this one. Numbers alone don't tell: they go by the time of day, which may be set
+// back.
+func (m *minionState) isEarlier(incarnation uint64, requestedAt time.Time) bool {
+	return incarnation < m.Incarnation && requestedAt.Before(m.since)
+}
+
 // minClock returns the earliest time that the minion's clock may show.
 func (m *minionState) minClock(at time.Time) time.Duration {
 	elapsed := at.Sub(m.clockReadAt)
