supervisor, minder: Ignore late answers to stops for an earlier incarnation

The clock of a minion starts anew with it. A late answer to a stop for the earlier incarnation set the agent's idea of the clock far ahead, past the lease that it had just granted, so it reported the runs as lost while they went on. Cause: answers to stops didn't say for which incarnation the stop was; answers to starts did. Change: the order and its answer carry the incarnation, as for starts. Measured: TestLateStopAnswerOfEarlierIncarnationLosesNoRuns failed with the field but without the comparison (one run lost) and passes. The fuzz test of malformed answers draws the incarnation too.

--- a/minder/minder.go
+++ b/minder/minder.go
@@ -293,7 +293,7 @@
 	if err != nil {
 		m.options.Log.Info("supervisor: A stop had no answer", "run", order.Run.String(), "error", err)
 	}
-	m.Enqueue(supervisor.StopAnswered{Run: order.Run, Answered: err == nil, Clock: minionTime})
+	m.Enqueue(supervisor.StopAnswered{Run: order.Run, Incarnation: order.Incarnation, Answered: err == nil, Clock: minionTime})
 }
 
 func (m *Minder) renewLease(ctx context.Context, order supervisor.RenewLease) {
--- a/rehearser/agent.go
+++ b/rehearser/agent.go
@@ -288,8 +288,8 @@
 func (a *agentNode) stopRun(c supervisor.StopRun) {
 	a.sendOrder(orderTimeout, func(m *emulator.LeasedMinion) supervisor.Event {
 		m.Stop(a.world.now, c.Run)
-		return supervisor.StopAnswered{Run: c.Run, Answered: true, Clock: m.Clock(a.world.now)}
-	}, supervisor.StopAnswered{Run: c.Run}, supervisor.StopAnswered{Run: c.Run})
+		return supervisor.StopAnswered{Run: c.Run, Incarnation: c.Incarnation, Answered: true, Clock: m.Clock(a.world.now)}
+	}, supervisor.StopAnswered{Run: c.Run, Incarnation: c.Incarnation}, supervisor.StopAnswered{Run: c.Run, Incarnation: c.Incarnation})
 }
 
 // renewLease renews the minion's lease and requests a list of its runs. The
--- a/supervisor/answers.go
+++ b/supervisor/answers.go
@@ -63,6 +63,9 @@
 }
 
 func (ev StopAnswered) apply(c *Core, now time.Time) {
+	if ev.Incarnation != c.minion.Incarnation {
+		return
+	}
 	c.minion.observeClock(now, ev.Clock)
 	if _, isOrphan := c.minion.orphans[ev.Run]; isOrphan {
 		return // Removed once the minion no longer lists it.
--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -79,7 +79,11 @@
 
 // StopRun orders the minion to stop a run, and never to start it if it has not
 // started.
-type StopRun struct{ Run work.Run }
+type StopRun struct {
+	Run work.Run
+	// Incarnation is the incarnation of the minion that the order is for.
+	Incarnation uint64
+}
 
 // RenewLease renews the lease of all runs at the minion, and requests the lists
 // of running and ended runs.
--- a/supervisor/core.go
+++ b/supervisor/core.go
@@ -283,12 +283,12 @@
 			continue
 		}
 		r.stopSent, r.nextStopAt = true, now.Add(c.answerTime.timeout())
-		c.emit(StopRun{Run: r.order.Run})
+		c.emit(StopRun{Run: r.order.Run, Incarnation: c.minion.Incarnation})
 	}
 	for _, orphan := range slices.SortedFunc(maps.Keys(c.minion.orphans), work.Compare) {
 		if !now.Before(c.minion.orphans[orphan]) {
 			c.minion.orphans[orphan] = now.Add(c.answerTime.timeout())
-			c.emit(StopRun{Run: orphan})
+			c.emit(StopRun{Run: orphan, Incarnation: c.minion.Incarnation})
 		}
 	}
 }
--- a/supervisor/events.go
+++ b/supervisor/events.go
@@ -98,9 +98,11 @@
 // StopAnswered carries the result of a stop order. Answered is false if no
 // answer came.
 type StopAnswered struct {
-	Run      work.Run
-	Answered bool
-	Clock    time.Duration
+	Run work.Run
+	// Incarnation is copied from the order.
+	Incarnation uint64
+	Answered    bool
+	Clock       time.Duration
 }
 
 // ListedRun is a run that the minion lists as running.
--- a/supervisor/incarnation_test.go
+++ b/supervisor/incarnation_test.go
@@ -95,3 +95,16 @@
 	b.step(described(1, 1, nil))
 	is.Equal(len(find[supervisor.StartRun](b.step(b.order("a", 1000)))), 1)
 }
+
+// Guards against runs that are taken for lapsed while they go on: the clock of the
+// earlier incarnation came with a late answer to a stop, and passed the lease.
+func TestLateStopAnswerOfEarlierIncarnationLosesNoRuns(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	b.step(described(2, 1, nil))
+	b.listOf(2)
+	b.step(b.order("a", 1000))
+	b.step(supervisor.StartAnswered{Run: run("a"), Incarnation: 2, Answer: supervisor.StartAccepted})
+	out := b.step(supervisor.StopAnswered{Run: run("earlier"), Incarnation: 1, Answered: true, Clock: time.Hour})
+	is.Equal(len(ends(out)), 0)
+}
--- a/supervisor/malformed_test.go
+++ b/supervisor/malformed_test.go
@@ -54,7 +54,10 @@
 			Answer: supervisor.StartAnswer(rapid.IntRange(0, 12).Draw(t, "answer")), Clock: time.Duration(oddInt().Draw(t, "clock")),
 		}
 	case 4:
-		return supervisor.StopAnswered{Run: oddRun().Draw(t, "run"), Answered: rapid.Bool().Draw(t, "answered"), Clock: time.Duration(oddInt().Draw(t, "clock"))}
+		return supervisor.StopAnswered{
+			Run: oddRun().Draw(t, "run"), Incarnation: uint64(rapid.IntRange(0, 2).Draw(t, "incarnation")),
+			Answered: rapid.Bool().Draw(t, "answered"), Clock: time.Duration(oddInt().Draw(t, "clock")),
+		}
 	case 5:
 		return supervisor.LinkRetiring{Entry: name, Link: link, Retiring: rapid.Bool().Draw(t, "retiring")}
 	}
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -109,7 +109,7 @@
 	out := b.advance(150 * time.Millisecond)
 	is.True(len(find[supervisor.StopRun](out)) > 0)
 	is.Equal(len(ends(out)), 0) // The run may have started.
-	b.step(supervisor.StopAnswered{Run: run("a"), Answered: true})
+	b.step(supervisor.StopAnswered{Run: run("a"), Incarnation: 1, Answered: true})
 	is.Equal(len(ends(b.commands)), 0) // Only a list requested after the stop shows whether it ran.
 	b.step()
 	report := ends(b.list(nil, nil))
