supervisor: Acknowledge no ends after a failed renewal

After a failed renewal the next one went with the number of the last end of the earlier incarnation, to whichever answers. One that had restarted under its name may forget its first ends for it, and their runs would count as lost. Cause: ends are numbered from 1 in each incarnation, and the renewal by which the agent learns of a restart was sent with the old number. Ruled out: the lease in that renewal and a start, by reading: the incarnation that answers runs nothing yet, and shortens a lease that is too long. Change: nothing is acknowledged until a renewal has been answered again. Measured: TestEndsOfEarlierIncarnationAreNotAcknowledged failed before (57 acknowledged) and passes.

--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -96,7 +96,8 @@
 	// Wait is the long-poll time: how long the minion may delay its answer
 	// while no run ends.
 	Wait time.Duration
-	// Acked is the number of the newest end that the agent has processed.
+	// Acked is the number of the newest end that the agent has processed; 0 if
+	// another incarnation may answer.
 	Acked uint64
 	// AnswerTimeout is the timeout for the answer, on top of Wait.
 	AnswerTimeout time.Duration
--- a/supervisor/incarnation_test.go
+++ b/supervisor/incarnation_test.go
@@ -108,3 +108,16 @@
 	out := b.step(supervisor.StopAnswered{Run: run("earlier"), Incarnation: 1, Answered: true, Clock: time.Hour})
 	is.Equal(len(ends(out)), 0)
 }
+
+// Guards against ends that are never listed: the number of the last end of the
+// earlier incarnation was acknowledged to the one that followed it.
+func TestEndsOfEarlierIncarnationAreNotAcknowledged(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	renewal := func(out []supervisor.Command) supervisor.RenewLease { return find[supervisor.RenewLease](out)[0] }
+	out := b.list(nil, []supervisor.ListedEnd{{Number: 57, Run: run("a"), State: work.Done}})
+	is.Equal(renewal(out).Acked, uint64(57))
+	b.step(supervisor.RenewalFailed{}) // The minion may have restarted meanwhile.
+	is.Equal(renewal(b.advance(20*time.Millisecond)).Acked, uint64(0))
+	is.Equal(renewal(b.list(nil, nil)).Acked, uint64(57)) // It has not.
+}
--- a/supervisor/minion.go
+++ b/supervisor/minion.go
@@ -76,6 +76,15 @@
 	return incarnation < m.Incarnation && requestedAt.Before(m.since)
 }
 
+// ackableEnd returns the number of the newest end to acknowledge: 0 after a failed
+// renewal, since another incarnation, whose ends have other numbers, may answer next.
+func (m *minionState) ackableEnd() uint64 {
+	if m.failedRenewals > 0 {
+		return 0
+	}
+	return m.ackedEnd
+}
+
 // minClock returns the earliest time that the minion's clock may show.
 func (m *minionState) minClock(at time.Time) time.Duration {
 	elapsed := at.Sub(m.clockReadAt)
--- a/supervisor/scheduling.go
+++ b/supervisor/scheduling.go
@@ -128,13 +128,13 @@
 	m := &c.minion
 	if m.renewalInFlight && !m.listInFlight && c.needsNewerList(now) {
 		m.listInFlight = true
-		c.emit(RenewLease{Minion: m.Name, Incarnation: m.Incarnation, Acked: m.ackedEnd, ListOnly: true, AnswerTimeout: c.answerTime.timeout()})
+		c.emit(RenewLease{Minion: m.Name, Incarnation: m.Incarnation, Acked: m.ackableEnd(), ListOnly: true, AnswerTimeout: c.answerTime.timeout()})
 	}
 	if m.renewalInFlight || !m.known() || now.Before(m.nextRenewalAt) {
 		return
 	}
 	m.renewalInFlight = true
-	command := RenewLease{Minion: m.Name, Incarnation: m.Incarnation, Acked: m.ackedEnd, AnswerTimeout: c.answerTime.timeout()}
+	command := RenewLease{Minion: m.Name, Incarnation: m.Incarnation, Acked: m.ackableEnd(), AnswerTimeout: c.answerTime.timeout()}
 	if m.reconciled && len(m.orphans) == 0 && now.Sub(m.lastAnswerAt) <= maxAnswerAge {
 		command.LeaseExpiry = m.extendLease(now, c.options.Lease)
 		command.Wait = idleRenewalWait
