platform, work: Refuse odd status reports whole

Callers would see: tasks on a minion that drains or shrank, or none of a minion's room used. Other operators reported it: one odd entry of another writer among those of the minions, and the machines that read it ended or followed no more. Cause: a status report was taken if its service, state and CPU were fine. A sequence number of 2^64 was converted by what the processor makes of it, and made all later reports look late; a start time of 10^18 did the same until a list corrected it. A name that is no UTF-8 can't be encoded in a frame, so each link of the agent ended with its first frame, and so did the next one. Deeply nested reports are refused by encoding/json already, at 10,000 levels. Change: a report must have a sequence number and a start time, whole and at most 2^53; a name that can travel in headers and frames; amounts that a machine may have; a port that something can listen on; labels and a zone of bounded size. Else it is refused with a logged reason and counted in status-reports-refused. The check is work.Minion.Problem, for all places that read a description. TestMinionReportsHowLongItStaysCold sent reports without a start time and sequence number, which minions never do; it sends both now and checks what it did.

--- a/launcher/agent.go
+++ b/launcher/agent.go
@@ -105,7 +105,7 @@
 	registry := platform.NewReportHandler(platform.ReportHandlerOptions{
 		Service: s.Service, HandleReport: a.minionDescribed,
 		HandleDeparture: func(name string) bool { return a.minder.Enqueue(supervisor.MinionDeparted{Name: name}) },
-		Log:             a.log,
+		Log:             a.log, Metrics: a.metrics,
 	})
 	if _, err := a.serve("registry", s.RegistryAddress, registry); err != nil {
 		return err
