supervisor, minder, launcher: Store only descriptions that count

An agent that restarts beside a draining minion could give it runs until its next report. Cause: the process stored each status report as it arrived, also one that the core then ignored as late or of an earlier incarnation. The next agent process began with that one, without the sequence number that would show it. Change: the core says what to store, which is what it has taken itself.

--- a/launcher/agent.go
+++ b/launcher/agent.go
@@ -95,15 +95,15 @@
 	a.minder = minder.New(minder.Options{
 		Core: supervisor.Options{Lease: lease}, Minion: platform.NewMinionClient(s.MinionAddress),
 		Send: func(entry string, command supervisor.Command) { a.linkClient.Send(entry, command) },
-		Cut:  func(link uint64) { a.linkClient.Cut(link) },
-		Log:  a.log, Metrics: a.metrics,
+		Cut:  func(link uint64) { a.linkClient.Cut(link) }, Store: a.storedMinion.update,
+		Log: a.log, Metrics: a.metrics,
 	})
 	a.linkClient = coupler.NewClient(coupler.ClientOptions{
 		Self: a.self, Zone: s.Zone, Enqueue: a.minder.Enqueue, EntriesReceived: a.entriesReceived, Log: a.log,
 	})
 	a.updateLinks()
 	registry := platform.NewReportHandler(platform.ReportHandlerOptions{
-		Service: s.Service, HandleReport: a.minionDescribed,
+		Service: s.Service, HandleReport: func(m work.Minion) bool { return a.minder.Enqueue(supervisor.MinionDescribed{Minion: m}) },
 		HandleDeparture: func(name string) bool { return a.minder.Enqueue(supervisor.MinionDeparted{Name: name}) },
 		Log:             a.log, Metrics: a.metrics,
 	})
@@ -113,15 +113,6 @@
 	return a.serveMetrics()
 }
 
-// minionDescribed stores a status report of the minion and passes it to the core.
-// It returns false once the agent has stopped.
-func (a *agentProcess) minionDescribed(m work.Minion) bool {
-	if err := a.storedMinion.update(m); err != nil {
-		a.log.Warn("launcher: Could not encode the description of the minion", "error", err)
-	}
-	return a.minder.Enqueue(supervisor.MinionDescribed{Minion: m})
-}
-
 // entriesReceived handles a list of live entries that an entry has sent.
 func (a *agentProcess) entriesReceived(source netip.AddrPort, entries []netip.AddrPort) {
 	a.mu.Lock()
--- a/launcher/minion.go
+++ b/launcher/minion.go
@@ -49,11 +49,8 @@
 
 // update sets the latest description, and schedules a write if it differs from the
 // stored one.
-func (m *minionRecord) update(minion work.Minion) error {
-	content, err := encodeMinion(minion)
-	if err != nil {
-		return err
-	}
+func (m *minionRecord) update(minion work.Minion) {
+	content := encodeMinion(minion)
 	m.mu.Lock()
 	m.latest = content
 	unsaved := string(m.latest) != string(m.stored)
@@ -64,7 +61,6 @@
 		default:
 		}
 	}
-	return nil
 }
 
 // writeMinionUpdates writes changed descriptions to the store until ctx ends, and
@@ -126,11 +122,12 @@
 	}
 }
 
-func encodeMinion(m work.Minion) ([]byte, error) {
-	return json.Marshal(minionRow{
+func encodeMinion(m work.Minion) []byte {
+	content, _ := json.Marshal(minionRow{ // Marshalling texts and integers can't fail.
 		Name: m.Name, Incarnation: m.Incarnation, Service: m.Service, Zone: m.Zone, Labels: m.Labels,
 		CPUMillis: m.Room.CPU, MemoryMB: m.Room.Memory, Accelerators: m.Room.Accelerators, Draining: m.Draining,
 	})
+	return content
 }
 
 func decodeMinion(content []byte) (work.Minion, error) {
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -76,7 +76,9 @@
 	// Send queues a command for the link to an entry without blocking.
 	Send func(entry string, command supervisor.Command)
 	// Cut closes a link.
-	Cut     func(link uint64)
+	Cut func(link uint64)
+	// Store stores the minion's description without blocking.
+	Store   func(m work.Minion)
 	Log     *slog.Logger
 	Metrics metrics.Registry
 }
@@ -226,6 +228,8 @@
 		m.goroutines.Go(func() { m.renewLease(ctx, c) })
 	case supervisor.CutLink:
 		m.options.Cut(c.Link)
+	case supervisor.StoreMinion:
+		m.options.Store(c.Minion)
 	case supervisor.IgnoreDescription:
 		m.metrics.reportsIgnored.Inc(1)
 		m.options.Log.Info("supervisor: Ignored a status report", "minion", c.Ignored.Name, "reason", c.Reason, "draining", c.Ignored.Draining,
--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -105,6 +105,9 @@
 	ListOnly bool
 }
 
+// StoreMinion stores the minion's description for an agent process that follows.
+type StoreMinion struct{ Minion work.Minion }
+
 // IgnoreDescription notes that a description of the minion was not taken.
 type IgnoreDescription struct {
 	// Ignored is the description, and Current the one that stays in force.
@@ -131,5 +134,6 @@
 func (StartRun) command()          {}
 func (StopRun) command()           {}
 func (RenewLease) command()        {}
+func (StoreMinion) command()       {}
 func (IgnoreDescription) command() {}
 func (LogMessage) command()        {}
--- a/supervisor/incarnation_test.go
+++ b/supervisor/incarnation_test.go
@@ -121,3 +121,17 @@
 	is.Equal(renewal(b.advance(20*time.Millisecond)).Acked, uint64(0))
 	is.Equal(renewal(b.list(nil, nil)).Acked, uint64(57)) // It has not.
 }
+
+// Guards against an agent that returns beside a draining minion and gives it runs: a
+// report that arrived late replaced the stored description.
+func TestLateDescriptionIsNotStored(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	draining := described(1, 8, func(m *work.Minion) { m.Draining = true })
+	stored := find[supervisor.StoreMinion](b.step(draining))
+	is.Equal(len(stored), 1)
+	is.True(stored[0].Minion.Draining)
+	is.Equal(len(find[supervisor.StoreMinion](b.step(described(1, 7, nil)))), 0)
+	is.Equal(len(find[supervisor.StoreMinion](b.step(described(2, 1, nil)))), 1)
+	is.Equal(len(find[supervisor.StoreMinion](b.step(draining))), 0)
+}
