launcher: Ignore an odd stored description of the minion

Callers would see: a minion that is never used, however often its agent restarts. Cause: an agent begins with its row in the table of minions. A row of another writer with a name that can't stand in a header and a large start time made each renewal fail before it was sent, and each report of the minion itself look like one of an earlier incarnation, so the row was never written again either. Evidence: TestOddRowsOfAnotherWriterAreSkipped, with real programs: before, both agents logged "invalid header field value" for 20 s and no job was served. Change: the row is checked as status reports are (work.Minion.Problem), and for its service. What fails is ignored with a logged reason until the next report. Measured: the test passes; its odd rows of entries were skipped before, too.

--- a/launcher/minion.go
+++ b/launcher/minion.go
@@ -113,7 +113,7 @@
 		return
 	}
 	for _, r := range rows {
-		minion, err := decodeMinion(r.Value)
+		minion, err := decodeMinion(r.Value, a.settings.Service)
 		if err != nil {
 			a.log.Warn("launcher: Ignored an invalid stored description of the minion", "error", err)
 			continue
@@ -130,17 +130,27 @@
 	return content
 }
 
-func decodeMinion(content []byte) (work.Minion, error) {
+// decodeMinion returns the description of a minion of a service that a row holds. The
+// row may come from another writer.
+func decodeMinion(content []byte, service string) (work.Minion, error) {
 	var row minionRow
 	if err := json.Unmarshal(content, &row); err != nil {
 		return work.Minion{}, fault.Wrap(err, fault.Invalid, "the next status report replaces it", "read the row of the minion")
 	}
-	if row.Name == "" || row.CPUMillis <= 0 {
-		return work.Minion{}, fault.New(fault.Invalid, "the next status report replaces it", "the row of the minion has no name or room")
-	}
-	return work.Minion{
+	minion := work.Minion{
 		Name: row.Name, Incarnation: row.Incarnation, Service: row.Service, Zone: row.Zone, Labels: row.Labels,
 		Room:     work.Room{CPU: row.CPUMillis, Memory: row.MemoryMB, Accelerators: row.Accelerators},
 		Draining: row.Draining,
-	}, nil
+	}
+	problem := minion.Problem()
+	switch {
+	case minion.Service != service:
+		problem = "it is of another service: " + minion.Service
+	case minion.Room.CPU <= 0:
+		problem = "it has no room"
+	}
+	if problem != "" {
+		return work.Minion{}, fault.New(fault.Invalid, "the next status report replaces it", "read the row of the minion: %s", problem)
+	}
+	return minion, nil
 }
