registrar: Skip entries that expire in centuries, tell of malformed rows

Callers would see: 503 instead of 410 for a job that nobody knows, so that a cancelling is never acknowledged. Cause: a row of another writer with a date too large counted as a live entry for good. Nothing answers at its address, so no entry may say that the job is unknown. Rows that are nested deeply, have other numbers too large or a port out of range were skipped already, but nobody was told. The number of malformed rows is logged when it changes, with what is wrong with each. Measured: TestRowThatExpiresTooLateNamesNoEntry failed before and passes.

--- a/registrar/member.go
+++ b/registrar/member.go
@@ -34,29 +34,47 @@
 	Expires time.Time
 }
 
+// maxExpiryAhead is the longest time from now to the expiry of a live member, far
+// above any TTL and any difference between clocks.
+const maxExpiryAhead = 24 * time.Hour
+
 // List returns all registered members, including expired ones. It skips rows
 // that can't be decoded, because a newer version may have written them.
 func List(ctx context.Context, table tabler.Table) ([]Member, error) {
+	members, _, err := list(ctx, table)
+	return members, err
+}
+
+// list returns all registered members, and the faults of the rows that it skips.
+func list(ctx context.Context, table tabler.Table) ([]Member, []error, error) {
 	rows, err := table.Scan(ctx, tabler.Entries, "")
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
+	var malformed []error
 	members := make([]Member, 0, len(rows))
 	for _, r := range rows {
 		member, err := DecodeRow(r)
 		if err != nil {
+			malformed = append(malformed, err)
 			continue
 		}
 		members = append(members, member)
 	}
-	return members, nil
+	return members, malformed, nil
+}
+
+// isLive reports whether the member hasn't expired at the time now. One that expires
+// later than any entry writes is not live either, as it would be for good.
+func (m Member) isLive(now time.Time) bool {
+	return now.Before(m.Expires) && m.Expires.Sub(now) <= maxExpiryAhead
 }
 
 // Live returns the members that haven't expired at the time now.
 func Live(members []Member, now time.Time) []Member {
 	live := make([]Member, 0, len(members))
 	for _, m := range members {
-		if now.Before(m.Expires) {
+		if m.isLive(now) {
 			live = append(live, m)
 		}
 	}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -59,7 +60,10 @@
 	revisionChanges *ring.Ring[uint64]
 	stop            context.CancelFunc
 	loop            sync.WaitGroup
-	mu              sync.Mutex
+	// malformed is the number of rows that the last read skipped. Only the goroutine
+	// uses it.
+	malformed int
+	mu        sync.Mutex
 	// revision is the configuration revision to register.
 	revision uint64
 	// members holds the members that were live when the list was last read.
@@ -165,11 +169,15 @@
 func (r *Registrar) refreshMembers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeoutIntervals*r.options.RenewInterval)
 	defer cancel()
-	members, err := List(ctx, r.options.Table)
+	members, malformed, err := list(ctx, r.options.Table)
 	if err != nil {
 		r.options.Log.Warn("registrar: Could not list the entries", "error", err)
 		return
 	}
+	if len(malformed) != r.malformed {
+		r.malformed = len(malformed)
+		r.options.Log.Warn("registrar: Skips malformed rows in the list of entries", "count", r.malformed, "error", errors.Join(malformed...))
+	}
 	now := time.Now()
 	live, mayDelete := r.updateMembers(members, now)
 	if r.options.OnList != nil {
@@ -201,7 +209,7 @@
 	}
 	live = make([]Member, 0, len(members))
 	for _, m := range members {
-		if now.Before(m.Expires) || wereLive[m.Process] {
+		if m.isLive(now) || wereLive[m.Process] {
 			live = append(live, m)
 		}
 	}
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -104,6 +104,27 @@
 	})
 }
 
+// Guards against an entry that counts as alive for good: another writer left a row
+// that expires in centuries, and nothing answers at its address.
+func TestRowThatExpiresTooLateNamesNoEntry(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I, table *emulator.Table) {
+		odd := memberOf("odd", 1)
+		odd.Expires = time.Date(9999, 12, 31, 0, 0, 0, 0, time.UTC)
+		_, err := table.Commit(t.Context(), []tabler.Write{{
+			Key: registrar.KeyOf(odd.Process), Unconditional: true, Value: registrar.EncodeRow(odd),
+		}})
+		is.NoErr(err)
+		entry := startRegistrar(table, memberOf("entry", 2))
+		defer entry.Close()
+		time.Sleep(5 * time.Second)
+		members, _ := entry.Members()
+		is.Equal(memberNames(members), []string{"entry"})
+		listed, err := registrar.List(t.Context(), table)
+		is.NoErr(err)
+		is.Equal(memberNames(registrar.Live(listed, time.Now())), []string{"entry"})
+	})
+}
+
 // A row that expired long ago isn't deleted as soon as a Registrar starts, because
 // its entry may be about to renew it after a store outage.
 func TestExpiredRowIsKeptAfterStart(t *testing.T) {
