--- a/supervisor/events.go
+++ b/supervisor/events.go
@@ -250,7 +250,7 @@
 	}
 	if ev.Minion.Name != m.Name || ev.Minion.Incarnation > m.Incarnation {
 		c.replaceMinion(now, ev.Minion)
-		c.emit(StoreMinion{Minion: ev.Minion})
+		c.emit(StoreMinion(ev))
 		return
 	}
 	if m.departed {
@@ -265,7 +265,7 @@
 	startsDraining := ev.Minion.Draining && !m.Draining
 	changed := !m.described || startsDraining || ev.Minion.Room != m.Room || ev.Minion.Zone != m.Zone || !slices.Equal(ev.Minion.Labels, m.Labels)
 	m.Minion, m.described = ev.Minion, true
-	c.emit(StoreMinion{Minion: ev.Minion})
+	c.emit(StoreMinion(ev))
 	if startsDraining {
 		c.refuseQueued(now, work.ReasonLeaving)
 	}
