--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -25,6 +25,8 @@
 	deleteDelay = time.Minute
 	// maxDeletesPerRenewal bounds the expired rows deleted after one renewal.
 	maxDeletesPerRenewal = 16
+	// maxLoggedFaults bounds the malformed rows whose faults are logged.
+	maxLoggedFaults = 3
 	// callTimeoutIntervals is the timeout of a store call, in renewal intervals.
 	callTimeoutIntervals = 2
 )
@@ -176,7 +178,8 @@
 	}
 	if len(malformed) != r.malformed {
 		r.malformed = len(malformed)
-		r.options.Log.Warn("registrar: Skips malformed rows in the list of entries", "count", r.malformed, "error", errors.Join(malformed...))
+		examples := malformed[:min(len(malformed), maxLoggedFaults)]
+		r.options.Log.Warn("registrar: Skips malformed rows in the list of entries", "count", r.malformed, "error", errors.Join(examples...))
 	}
 	now := time.Now()
 	live, mayDelete := r.updateMembers(members, now)
