supervisor: Stop orders under way in a restart before their runs are lost

Cause: when a minion restarts under its name within a few milliseconds, an order that was under way is carried out by the next incarnation, since orders name the minion only. The agent reported its run as lost at once, and the entry started the task elsewhere beside it. Change: runs that the next incarnation lists, or whose start was not answered, are stopped there. Once a list shows that they are gone they are reported as lost, since the earlier incarnation may have started them. Measured: TestOrderUnderWayInARestartIsStoppedBeforeItsRunIsLost and TestOrderUnderWayAtTheFirstReportIsStoppedBeforeItsRunIsLost failed before and pass.

--- a/supervisor/answers.go
+++ b/supervisor/answers.go
@@ -94,7 +94,7 @@
 			c.emit(LogMessage{Text: "Ignored a late list of an earlier incarnation", Minion: m.Minion})
 			return
 		}
-		c.awaitDescription(now, ev.Incarnation)
+		c.awaitDescription(now, ev)
 		return
 	}
 	m.observeClock(now, ev.Clock)
@@ -112,13 +112,13 @@
 	}
 }
 
-// awaitDescription switches to an incarnation that has not described itself yet. It
-// gets no runs until then, since it may be of another kind or draining.
-func (c *Core) awaitDescription(now time.Time, incarnation uint64) {
+// awaitDescription switches to the incarnation of a list, which has not described
+// itself yet. It gets no runs until then, since it may be of another kind or draining.
+func (c *Core) awaitDescription(now time.Time, list RunsListed) {
 	wasUsable := c.minion.usable()
 	next := c.minion.Minion
-	next.Incarnation, next.Sequence, next.Draining, next.ColdUntil = incarnation, 0, false, time.Time{}
-	c.replaceMinion(now, next)
+	next.Incarnation, next.Sequence, next.Draining, next.ColdUntil = list.Incarnation, 0, false, time.Time{}
+	c.replaceMinion(now, next, list.Running...)
 	c.minion.described = false
 	if wasUsable {
 		c.reportMinion()
@@ -185,6 +185,8 @@
 func (c *Core) handleUnlisted(now time.Time, r *run, requestedAt time.Time) {
 	stopConfirmed := !r.stopAckedAt.IsZero() && r.stopAckedAt.Before(requestedAt)
 	switch {
+	case r.moved && stopConfirmed:
+		c.endRun(now, r, work.Report{State: work.Lost, Reason: work.ReasonCrashed, Took: now.Sub(r.startSentAt)})
 	case r.phase == uncertain && stopConfirmed:
 		c.endRun(now, r, work.Report{State: work.Stopped, Reason: work.ReasonUnstarted})
 	case r.phase == stopping && stopConfirmed:
--- a/supervisor/core.go
+++ b/supervisor/core.go
@@ -107,6 +107,9 @@
 	startRefusals int
 	// survived is true once a run on probation has survived it.
 	survived bool
+	// moved is true if the minion restarted under its name while the start order may
+	// have been under way. Either incarnation may have started the run.
+	moved bool
 	progress
 }
 
@@ -320,12 +323,12 @@
 	c.emit(ReportRun{Entry: name, Report: report})
 }
 
-// loseRuns ends all runs that may have been running, since the minion can't be
-// running them any more.
-func (c *Core) loseRuns(now time.Time, reason work.Reason) {
+// loseRuns ends all runs that may have been running, but for those that are kept,
+// since the minion can't be running them any more.
+func (c *Core) loseRuns(now time.Time, reason work.Reason, kept ...*run) {
 	lost := 0
 	for _, r := range c.copyRuns() {
-		if r.phase != queued {
+		if r.phase != queued && !slices.Contains(kept, r) {
 			c.endRun(now, r, work.Report{State: work.Lost, Reason: reason, Took: now.Sub(r.startSentAt)})
 			lost++
 		}
--- a/supervisor/crashes.go
+++ b/supervisor/crashes.go
@@ -19,9 +19,10 @@
 	maxCrashNotice = 50 * time.Millisecond
 )
 
-// loseRunsInCrash ends the runs of a minion whose process has ended, and reports
-// the crash to all linked entries. The end of a draining minion is planned.
-func (c *Core) loseRunsInCrash(now time.Time) {
+// loseRunsInCrash ends the runs of a minion whose process has ended, but for those
+// that are kept, and reports the crash to all linked entries. The end of a draining
+// minion is planned.
+func (c *Core) loseRunsInCrash(now time.Time, kept ...*run) {
 	reason := work.ReasonCrashed
 	if c.minion.Draining || c.minion.departed {
 		reason = "the minion has left"
@@ -32,7 +33,23 @@
 	if reason == work.ReasonCrashed && len(atRisk) > 0 {
 		c.reportCrash(work.Crash{Minion: c.minion.Name, Incarnation: c.minion.Incarnation, At: crashedAt, Runs: atRisk})
 	}
-	c.loseRuns(now, reason)
+	c.loseRuns(now, reason, kept...)
+}
+
+// moveRuns returns the runs that the next incarnation of the minion may have started:
+// those that it lists, and those whose start was not answered. They are stopped there
+// before they are reported.
+func (c *Core) moveRuns(now time.Time, listed []ListedRun) []*run {
+	var moved []*run
+	for _, r := range c.sortedRuns {
+		isListed := slices.ContainsFunc(listed, func(l ListedRun) bool { return l.Run == r.order.Run })
+		if r.phase != starting && r.phase != uncertain && !isListed {
+			continue
+		}
+		r.phase, r.moved, r.nextStopAt, r.stopSent, r.stopAckedAt = uncertain, true, now, false, time.Time{}
+		moved = append(moved, r)
+	}
+	return moved
 }
 
 // silentSince returns the time of the first renewal that failed since the minion
--- a/supervisor/events.go
+++ b/supervisor/events.go
@@ -296,11 +296,15 @@
 	}
 }
 
-// replaceMinion switches to another minion or incarnation, which runs nothing
-// that this agent started.
-func (c *Core) replaceMinion(now time.Time, m work.Minion) {
+// replaceMinion switches to another minion or incarnation. One with the same name may
+// run what was ordered from the last one: orders name the minion only.
+func (c *Core) replaceMinion(now time.Time, m work.Minion, listed ...ListedRun) {
 	renewalInFlight, listInFlight := c.minion.renewalInFlight, c.minion.listInFlight
-	c.loseRunsInCrash(now)
+	var moved []*run
+	if m.Name == c.minion.Name {
+		moved = c.moveRuns(now, listed)
+	}
+	c.loseRunsInCrash(now, moved...)
 	c.refuseQueued(now, work.ReasonUnreachable)
 	c.minion = minionState{Minion: m, described: true, since: now, renewalInFlight: renewalInFlight, listInFlight: listInFlight}
 	c.slowness, c.slowStart = slownessEstimator{}, slowStart{}
--- a/supervisor/incarnation_test.go
+++ b/supervisor/incarnation_test.go
@@ -135,3 +135,40 @@
 	is.Equal(len(find[supervisor.StoreMinion](b.step(described(2, 1, nil)))), 1)
 	is.Equal(len(find[supervisor.StoreMinion](b.step(draining))), 0)
 }
+
+// Guards against two runs of a task: the minion restarted under its name, and an order
+// for the earlier incarnation was carried out by the next one beside the run that
+// replaced it.
+func TestOrderUnderWayInARestartIsStoppedBeforeItsRunIsLost(t *testing.T) {
+	for name, listed := range map[string][]supervisor.ListedRun{"not there yet": nil, "already there": {{Run: run("a")}}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench()
+			b.step(b.order("a", 1000))
+			if listed != nil {
+				b.step(supervisor.StartAnswered{Run: run("a"), Incarnation: 1, Answer: supervisor.StartAccepted})
+			}
+			out := b.step(supervisor.RunsListed{Incarnation: 2, RequestedAt: b.now, Clock: time.Second, Running: listed})
+			is.Equal(len(ends(out)), 0)
+			is.Equal(find[supervisor.StopRun](out), []supervisor.StopRun{{Run: run("a"), Incarnation: 2}})
+			b.step(supervisor.StopAnswered{Run: run("a"), Incarnation: 2, Answered: true})
+			b.step()
+			lost := ends(b.listOf(2))
+			is.Equal(len(lost), 1)
+			is.Equal(lost[0].State, work.Lost) // The earlier incarnation may have started it.
+			is.Equal(lost[0].Reason, work.ReasonCrashed)
+		})
+	}
+}
+
+// The same if the first report of the next incarnation arrives before a list of it.
+func TestOrderUnderWayAtTheFirstReportIsStoppedBeforeItsRunIsLost(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	b.step(b.order("a", 1000))
+	out := b.step(described(2, 1, nil))
+	is.Equal(len(ends(out)), 0)
+	is.Equal(len(find[supervisor.StopRun](out)), 1)
+	out = b.step(supervisor.MinionDown{}) // It has ended too, and the order with it.
+	is.Equal(ends(out)[0].State, work.Lost)
+}
