--- a/supervisor/incarnation_test.go
+++ b/supervisor/incarnation_test.go
@@ -67,16 +67,22 @@
 	is.Equal(len(find[supervisor.StartRun](b.step(b.order("waits", 1000)))), 0) // The minion is cold.
 }
 
+// runAtNextIncarnation lets the minion restart and describe itself, and starts the run
+// a there.
+func (b *bench) runAtNextIncarnation() {
+	b.step(described(2, 1, nil))
+	b.listOf(2)
+	b.step(b.order("a", 1000))
+	b.step(supervisor.StartAnswered{Run: run("a"), Incarnation: 2, Answer: supervisor.StartAccepted})
+}
+
 // Guards against runs that are taken for lost while they go on: a list of the
 // earlier incarnation, which was overtaken, counted as another restart.
 func TestLateListOfEarlierIncarnationLosesNoRuns(t *testing.T) {
 	is := is.New(t)
 	b := newBench()
 	asked := b.now
-	b.step(described(2, 1, nil))
-	b.listOf(2)
-	b.step(b.order("a", 1000))
-	b.step(supervisor.StartAnswered{Run: run("a"), Incarnation: 2, Answer: supervisor.StartAccepted})
+	b.runAtNextIncarnation()
 	out := b.step(supervisor.RunsListed{Incarnation: 1, RequestedAt: asked, Clock: time.Hour})
 	is.Equal(len(ends(out)), 0)
 	is.Equal(len(find[supervisor.StartRun](b.step(b.order("b", 1000)))), 1)
@@ -101,10 +107,7 @@
 func TestLateStopAnswerOfEarlierIncarnationLosesNoRuns(t *testing.T) {
 	is := is.New(t)
 	b := newBench()
-	b.step(described(2, 1, nil))
-	b.listOf(2)
-	b.step(b.order("a", 1000))
-	b.step(supervisor.StartAnswered{Run: run("a"), Incarnation: 2, Answer: supervisor.StartAccepted})
+	b.runAtNextIncarnation()
 	out := b.step(supervisor.StopAnswered{Run: run("earlier"), Incarnation: 1, Answered: true, Clock: time.Hour})
 	is.Equal(len(ends(out)), 0)
 }
