supervisor: Count late confirmations as those of a restarted minion

A start that a minion confirmed just after it had restarted under its name, before a list showed it, was reported as lost at once, though it ran. Cause: the answer to a start doesn't say which incarnation gives it. Change: runs that were confirmed after renewals began to fail are stopped first, too. Measured: TestStartConfirmedAfterARestartIsStoppedBeforeItsRunIsLost failed before and passes.

--- a/supervisor/answers.go
+++ b/supervisor/answers.go
@@ -22,6 +22,7 @@
 	}
 	switch ev.Answer {
 	case StartAccepted:
+		r.confirmedAt = now
 		c.confirmStart(r)
 	case StartUnanswered:
 		if r.phase == starting {
--- a/supervisor/core.go
+++ b/supervisor/core.go
@@ -90,6 +90,8 @@
 	phase phase
 	// startSentAt is the time of the last start order.
 	startSentAt time.Time
+	// confirmedAt is the time at which the minion's answer confirmed the start.
+	confirmedAt time.Time
 	// nextStopAt is the time of the next stop order, in phases uncertain and
 	// stopping.
 	nextStopAt time.Time
--- a/supervisor/crashes.go
+++ b/supervisor/crashes.go
@@ -37,13 +37,15 @@
 }
 
 // moveRuns returns the runs that the next incarnation of the minion may have started:
-// those that it lists, and those whose start was not answered. They are stopped there
-// before they are reported.
+// those that it lists, and those whose start was not answered, or only after renewals
+// had begun to fail. They are stopped there before they are reported.
 func (c *Core) moveRuns(now time.Time, listed []ListedRun) []*run {
+	failingSince := c.minion.failingSince
 	var moved []*run
 	for _, r := range c.sortedRuns {
 		isListed := slices.ContainsFunc(listed, func(l ListedRun) bool { return l.Run == r.order.Run })
-		if r.phase != starting && r.phase != uncertain && !isListed {
+		answeredLate := !failingSince.IsZero() && !r.confirmedAt.Before(failingSince)
+		if r.phase != starting && r.phase != uncertain && !isListed && !answeredLate {
 			continue
 		}
 		r.phase, r.moved, r.nextStopAt, r.stopSent, r.stopAckedAt = uncertain, true, now, false, time.Time{}
--- a/supervisor/incarnation_test.go
+++ b/supervisor/incarnation_test.go
@@ -175,3 +175,18 @@
 	out = b.step(supervisor.MinionDown{}) // It has ended too, and the order with it.
 	is.Equal(ends(out)[0].State, work.Lost)
 }
+
+// The same if the next incarnation has confirmed the start already, but has not been
+// asked for a list since.
+func TestStartConfirmedAfterARestartIsStoppedBeforeItsRunIsLost(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	b.step(b.order("before", 1000))
+	b.step(supervisor.StartAnswered{Run: run("before"), Incarnation: 1, Answer: supervisor.StartAccepted})
+	b.step(b.order("after", 1000), supervisor.RenewalFailed{})
+	b.step(supervisor.StartAnswered{Run: run("after"), Incarnation: 1, Answer: supervisor.StartAccepted})
+	out := b.step(described(2, 1, nil))
+	is.Equal(len(ends(out)), 1)
+	is.Equal(ends(out)[0].Run, run("before"))
+	is.Equal(find[supervisor.StopRun](out), []supervisor.StopRun{{Run: run("after"), Incarnation: 2}})
+}
