supervisor, docs: Say what moved runs and a minion without a description are

Cause: read of the change as a newcomer: moveRuns sounded as if it only looked, and the state of a minion that has not described itself was vague. Result: the tests of the package pass.

--- a/supervisor/crashes.go
+++ b/supervisor/crashes.go
@@ -36,9 +36,9 @@
 	c.loseRuns(now, reason, kept...)
 }
 
-// moveRuns returns the runs that the next incarnation of the minion may have started:
-// those that it lists, and those whose start was not answered, or only after renewals
-// had begun to fail. They are stopped there before they are reported.
+// moveRuns marks and returns the runs that the next incarnation of the minion may have
+// started: those that it lists, and those whose start was not answered, or only after
+// renewals had begun to fail. They are stopped there before they are reported as lost.
 func (c *Core) moveRuns(now time.Time, listed []ListedRun) []*run {
 	failingSince := c.minion.failingSince
 	var moved []*run
--- a/supervisor/events.go
+++ b/supervisor/events.go
@@ -296,8 +296,9 @@
 	}
 }
 
-// replaceMinion switches to another minion or incarnation. One with the same name may
-// run what was ordered from the last one: orders name the minion only.
+// replaceMinion switches to another minion or incarnation, whose first list is given if
+// it has been seen. One with the same name may run what was ordered from the last one:
+// orders name the minion only.
 func (c *Core) replaceMinion(now time.Time, m work.Minion, listed ...ListedRun) {
 	renewalInFlight, listInFlight := c.minion.renewalInFlight, c.minion.listInFlight
 	var moved []*run
--- a/supervisor/minion.go
+++ b/supervisor/minion.go
@@ -21,7 +21,8 @@
 	work.Minion
 
 	// described is true once this incarnation has described itself. Until then only
-	// Name and Incarnation are certain, and the rest stands for what it may be.
+	// Name and Incarnation are certain; room, labels and zone are those of the last
+	// incarnation, and nothing is started by them.
 	described bool
 	// since is the time at which the agent learned of this incarnation. What was
 	// requested later can't come from an earlier one.
