supervisor: Number the reported ends over all entries

Cause: an agent deletes its record of an entry that was away for 5 s, and counted the ends that it reports from 1 in the next record. The entry kept its record and went on confirming the number from before, so the agent forgot ends that had not arrived. After one more cut its first frame lacked the run, which the entry takes for proof that the order never arrived. Change: one count for each agent process. A confirmed number never stands for a later end. The count of orders and that of the minion's ends begin anew at both sides with a link or an incarnation, so they are not affected.

--- a/supervisor/core.go
+++ b/supervisor/core.go
@@ -129,6 +129,10 @@
 	// ends.
 	endedAt  map[work.Run]time.Time
 	endOrder []work.Run
+	// lastEndNumber is the sequence number of the last end that was reported to any
+	// entry. It never restarts, since an entry may confirm a number that it got
+	// before its record here was deleted.
+	lastEndNumber uint64
 	// allocated is the total capacity of all runs that may be running.
 	allocated work.Room
 
@@ -318,8 +322,8 @@
 // reportEnd reports an end to an entry, and keeps it until it is acknowledged.
 func (c *Core) reportEnd(now time.Time, name string, report work.Report) {
 	e := c.entry(name)
-	e.lastEndNumber++
-	report.Number = e.lastEndNumber
+	c.lastEndNumber++
+	report.Number = c.lastEndNumber
 	e.unackedEnds = append(e.unackedEnds, unackedEnd{report: report, endedAt: now})
 	e.reportPending = true
 	c.emit(ReportRun{Entry: name, Report: report})
--- a/supervisor/entry.go
+++ b/supervisor/entry.go
@@ -37,9 +37,6 @@
 	// lastFrameAt is the time at which the entry last opened a link or sent a
 	// frame over it.
 	lastFrameAt time.Time
-	// lastEndNumber is the sequence number of the last end that was reported
-	// to the entry.
-	lastEndNumber uint64
 	// unackedEnds are the reported ends that the entry has not acknowledged.
 	unackedEnds []unackedEnd
 	// ordersReceived counts the orders received over the open link.
