soaker: Cut links, starve processes, let callers come again elsewhere

Cause: it had no proxy between agents and entries, no lack of processor time and no cuts longer than 2.5 s; callers that disconnected never submitted their job again, and one that got no answer waited a second longer than the entry. Change: proxies on the links of entries (listen.links lets an entry listen behind one), cuts of one direction, loss of power, a cut-off entry, slowed processes (a share of a core, as a quota for each tenth of a second), callers that leave and come again at another entry.

--- a/commands/soak.go
+++ b/commands/soak.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -21,8 +22,13 @@
 	Seeds       int           `help:"How many seeds to run, one after the other from the first." default:"1"`
 	Concurrency int           `help:"How many to run at a time." name:"at-once" default:"2"`
 	Faults      time.Duration `help:"How long faults come; work goes on 5 s longer." default:"6s"`
+	Longest     time.Duration `help:"Longest duration of a fault." default:"2.5s"`
+	Only        string        `help:"Regular expression that selects the faults by their names." placeholder:"PATTERN"`
 	Entries     int           `help:"Entries, 1 to 20." default:"3"`
 	Agents      int           `help:"Agents with a minion each, 1 to 20." default:"4"`
+	EntryShare  float64       `help:"Share of a core that each entry may use; 0 for no limit."`
+	AgentShare  float64       `help:"Share of a core that each agent may use; 0 for no limit."`
+	Rate        float64       `help:"Jobs per second." default:"40"`
 	Agent       string        `help:"Program of the agent; by default the one beside this program." type:"path" placeholder:"PATH"`
 	Dir         string        `help:"Directory for settings and logs of each seed." type:"path" default:"soak-logs"`
 }
@@ -39,6 +45,12 @@
 	if err != nil {
 		return err
 	}
+	var pattern *regexp.Regexp
+	if s.Only != "" {
+		if pattern, err = regexp.Compile(s.Only); err != nil {
+			return fault.Wrap(err, fault.Invalid, "correct --only", "read the pattern of faults")
+		}
+	}
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	var lastErr error
@@ -53,7 +65,8 @@
 			defer func() { <-semaphore }()
 			dir := filepath.Join(s.Dir, fmt.Sprintf("seed-%d", seed))
 			result, err := soaker.Run(ctx, soaker.Options{
-				Seed: seed, FaultDuration: s.Faults, Entries: s.Entries, Agents: s.Agents, Entry: entry, Agent: agent, Dir: dir,
+				Seed: seed, FaultDuration: s.Faults, MaxFault: s.Longest, FaultPattern: pattern, Entries: s.Entries, Agents: s.Agents,
+				EntryShare: s.EntryShare, AgentShare: s.AgentShare, JobsPerSecond: s.Rate, Entry: entry, Agent: agent, Dir: dir,
 			})
 			mu.Lock()
 			defer mu.Unlock()
@@ -81,7 +94,8 @@
 // programPaths validates the flags, and returns the paths of the programs to
 // run.
 func (s *SoakCommand) programPaths() (entry, agent string, err error) {
-	if s.Seeds < 1 || s.Concurrency < 1 || s.Entries < 1 || s.Entries > 20 || s.Agents < 1 || s.Agents > 20 || s.Faults <= 0 {
+	if s.Seeds < 1 || s.Concurrency < 1 || s.Entries < 1 || s.Entries > 20 || s.Agents < 1 || s.Agents > 20 || s.Faults <= 0 || s.Longest <= 0 || s.Rate <= 0 ||
+		s.EntryShare < 0 || s.AgentShare < 0 {
 		return "", "", fault.New(fault.Invalid, "see agatevalve soak --help", "a number is out of range")
 	}
 	if entry, err = os.Executable(); err != nil {
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -99,7 +99,11 @@
 	links := http.NewServeMux()
 	links.Handle("/", e.linkServer.Handler())
 	e.relayServer.Handle(links)
-	if _, err := e.serve("links", s.LinkAddress(s.Address), links); err != nil {
+	linkAddress := s.LinkAddress(s.Address)
+	if s.LinkListenAddress.IsValid() {
+		linkAddress = s.LinkListenAddress
+	}
+	if _, err := e.serve("links", linkAddress, links); err != nil {
 		return err
 	}
 	if _, err := e.serve("readiness", s.ReadinessAddress, platform.NewReadinessHandler(e.ready)); err != nil {
--- a/soaker/agent.go
+++ b/soaker/agent.go
@@ -53,7 +53,7 @@
 	a.process, err = h.startProcess(imitator.VM{
 		Node: fmt.Sprintf(agentNodeFormat, i), Zone: zones[i%len(zones)], Address: h.address(3, i), RegistryPort: registryPort, FirstPort: firstPort, Seeds: seeds,
 		Store: store, Minion: proxyAddress,
-	}, h.options.Agent, "--on-platform")
+	}, h.options.AgentShare, h.options.Agent, "--on-platform")
 	if err != nil {
 		return fault.Wrap(err, fault.Invalid, "check the path of the program", "start an agent")
 	}
--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -14,12 +14,16 @@
 )
 
 const (
-	// jobsPerSecond is the mean total submission rate of all callers.
-	jobsPerSecond = 40
+	// defaultJobsPerSecond is the mean total submission rate of all callers.
+	defaultJobsPerSecond = 40
 	// callerCount is the number of callers, each with its own connections.
 	callerCount = 6
 	// disconnectShare is the share of jobs whose caller disconnects early.
 	disconnectShare = 0.05
+	// returnShare is the share of jobs whose caller disconnects within returnWithin
+	// and submits the job again later, at another entry.
+	returnShare  = 0.15
+	returnWithin = 900 * time.Millisecond
 	// cancelShare is the share of jobs that are cancelled early.
 	cancelShare = 0.05
 	// connectionLossGrace is the time after a request within which its connection
@@ -60,7 +64,7 @@
 		clients[i] = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callerCount}}
 	}
 	for ctx.Err() == nil {
-		job, prefix, giveUpAfter, cancel := h.drawJob()
+		job, prefix, behaviour := h.drawJob()
 		deadly := h.trafficRandom.Float64() < deadlyShare
 		client := clients[h.trafficRandom.IntN(callerCount)]
 		firstEntry := h.trafficRandom.IntN(len(h.entries))
@@ -73,18 +77,18 @@
 		}
 		h.checker.jobSubmitted(job)
 		jobs.Go(func() {
-			outcome := h.submitUntilAnswered(client, job, prefix, firstEntry, giveUpAfter, cancel)
+			outcome := h.submitUntilAnswered(client, job, prefix, firstEntry, behaviour)
 			h.mu.Lock()
 			defer h.mu.Unlock()
 			h.outcomes[outcome.String()]++
-			if measured && giveUpAfter == 0 && !cancel {
+			if measured && behaviour.kind == staysConnected {
 				h.measuredJobs++
 				if outcome == work.Succeeded || outcome == work.Exhausted {
 					h.measuredServed++
 				}
 			}
 		})
-		pause := time.Duration(h.trafficRandom.ExpFloat64() / jobsPerSecond * float64(time.Second))
+		pause := time.Duration(h.trafficRandom.ExpFloat64() / h.options.JobsPerSecond * float64(time.Second))
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
@@ -93,9 +97,25 @@
 	jobs.Wait()
 }
 
-// drawJob draws the next job. If giveUpAfter is positive, the caller then cancels
-// the job or disconnects.
-func (h *harness) drawJob() (job *jobRecord, prefix string, giveUpAfter time.Duration, cancel bool) {
+// callerKind says what a caller does before its job is answered.
+type callerKind uint8
+
+const (
+	staysConnected callerKind = iota
+	disconnects
+	cancels
+	// returns disconnects and submits the job again later.
+	returns
+)
+
+// callerBehaviour is what a caller does, and how long after its first submission.
+type callerBehaviour struct {
+	kind  callerKind
+	after time.Duration
+}
+
+// drawJob draws the next job and what its caller does.
+func (h *harness) drawJob() (job *jobRecord, prefix string, behaviour callerBehaviour) {
 	kind := jobKinds[h.trafficRandom.IntN(len(jobKinds))]
 	job = &jobRecord{Job: work.Job{
 		ID: fmt.Sprintf("%016x", h.trafficRandom.Uint64()), Spec: "spec", Count: kind.Count, Room: kind.Room, Label: kind.Label, MaxPerMinion: kind.MaxPerMinion,
@@ -107,26 +127,29 @@
 	}
 	switch draw := h.trafficRandom.Float64(); {
 	case draw < disconnectShare:
-		giveUpAfter = time.Duration(h.trafficRandom.Int64N(int64(answerTimeout / 3)))
+		behaviour = callerBehaviour{disconnects, time.Duration(h.trafficRandom.Int64N(int64(answerTimeout / 3)))}
 	case draw < disconnectShare+cancelShare:
-		giveUpAfter, cancel = time.Duration(h.trafficRandom.Int64N(int64(answerTimeout/3))), true
+		behaviour = callerBehaviour{cancels, time.Duration(h.trafficRandom.Int64N(int64(answerTimeout / 3)))}
+	case draw < disconnectShare+cancelShare+returnShare:
+		behaviour = callerBehaviour{returns, time.Duration(h.trafficRandom.Int64N(int64(returnWithin)))}
 	}
-	return job, kind.prefix, giveUpAfter, cancel
+	return job, kind.prefix, behaviour
 }
 
 // submitUntilAnswered submits a job until it is answered, maxSubmissions are
 // reached or the caller disconnects. It returns the last outcome.
-func (h *harness) submitUntilAnswered(client *http.Client, job *jobRecord, prefix string, entryIndex int, giveUpAfter time.Duration, cancel bool) work.Outcome {
+func (h *harness) submitUntilAnswered(client *http.Client, job *jobRecord, prefix string, entryIndex int, behaviour callerBehaviour) work.Outcome {
 	ctx, disconnect := context.WithCancel(h.ctx)
 	defer disconnect()
-	cancelEntry := h.pickEntry(entryIndex + 1) // Any entry accepts the cancellation.
-	if giveUpAfter > 0 {
-		timer := time.AfterFunc(giveUpAfter, func() {
-			if !cancel {
-				disconnect()
-				h.checker.callerLeft(job)
-				return
-			}
+	switch cancelEntry := h.pickEntry(entryIndex + 1); behaviour.kind {
+	case disconnects:
+		timer := time.AfterFunc(behaviour.after, func() {
+			disconnect()
+			h.checker.callerLeft(job)
+		})
+		defer timer.Stop()
+	case cancels: // At any entry.
+		timer := time.AfterFunc(behaviour.after, func() {
 			if status := imitator.Cancel(h.ctx, client, cancelEntry.callersAddress(), prefix, job.ID); status == http.StatusOK {
 				h.checker.callerLeft(job)
 			}
@@ -138,19 +161,18 @@
 		e := h.pickEntry(entryIndex)
 		entryIndex++
 		sent, incarnation := time.Now(), e.incarnation()
-		submitCtx, cancelSubmit := context.WithTimeout(ctx, answerTimeout+time.Second)
+		patience := answerTimeout
+		if behaviour.kind == returns && n == 1 {
+			patience = behaviour.after
+		}
+		submitCtx, cancelSubmit := context.WithTimeout(ctx, patience)
 		reply = imitator.Submit(submitCtx, client, e.callersAddress(), prefix, job.Job, answerTimeout)
 		cancelSubmit()
 		disconnected := ctx.Err() != nil
 		resubmit := !disconnected && n < maxSubmissions && (!reply.Complete || reply.Outcome == work.Unfinished)
 		h.checker.jobAnswered(job, reply.Outcome, !resubmit)
-		elapsed, lost := time.Since(sent), false
-		if !reply.Complete && !disconnected && elapsed > connectionLossGrace && elapsed < answerTimeout/2 {
-			time.Sleep(connectionLossGrace) // A fault that cut the connection may not be marked yet.
-			lost = e.incarnation() == incarnation && h.checker.undisturbedSince(sent, e.vm.Node)
-		}
-		if lost {
-			h.checker.addViolation("lost: %s was cut at %s after %s, undisturbed", job.ID, e.vm.Node, elapsed)
+		if elapsed := time.Since(sent); !reply.Complete && !disconnected && elapsed < min(patience, answerTimeout/2) {
+			h.checkConnectionLoss(job, e, incarnation, sent, elapsed)
 		}
 		if !resubmit {
 			break
@@ -160,6 +182,18 @@
 	return reply.Outcome
 }
 
+// checkConnectionLoss reports the end of a connection without an answer, unless it
+// came early or the entry was disturbed or restarted.
+func (h *harness) checkConnectionLoss(job *jobRecord, e *entry, incarnation int, sent time.Time, elapsed time.Duration) {
+	if elapsed <= connectionLossGrace {
+		return
+	}
+	time.Sleep(connectionLossGrace) // A fault that cut the connection may not be marked yet.
+	if e.incarnation() == incarnation && h.checker.undisturbedSince(sent, e.vm.Node) {
+		h.checker.addViolation("lost: %s was cut at %s after %s, undisturbed", job.ID, e.vm.Node, elapsed)
+	}
+}
+
 // pickEntry returns the first entry in rotation from an index on, or the one at
 // that index if none is.
 func (h *harness) pickEntry(from int) *entry {
--- a/soaker/entry.go
+++ b/soaker/entry.go
@@ -18,9 +18,10 @@
 type entry struct {
 	*process
 
-	// proxy is the proxy through which callers connect.
-	proxy *proxy
-	mu    sync.Mutex
+	// proxy is the proxy through which callers connect, and links that of agents and
+	// other entries.
+	proxy, links *proxy
+	mu           sync.Mutex
 	// failedProbes counts consecutive failed readiness probes.
 	failedProbes int
 }
@@ -32,14 +33,19 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, "end what listens there", "open a proxy")
 	}
+	linkListenAddress := netip.AddrPortFrom(h.address(2, 25+i), firstPort)
+	links, err := newProxy(netip.AddrPortFrom(address, firstPort), linkListenAddress)
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, "end what listens there", "open a proxy")
+	}
 	started, err := h.startProcess(imitator.VM{
 		Node: fmt.Sprintf(entryNodeFormat, i), Zone: "a", Address: address, CallersPort: callersPort, ReadinessPort: readinessPort, RegistryPort: registryPort,
-		FirstPort: firstPort, Seeds: seeds, Store: store,
-	}, h.options.Entry, "serve", "--on-platform")
+		FirstPort: firstPort, LinkListenAddress: linkListenAddress, Seeds: seeds, Store: store,
+	}, h.options.EntryShare, h.options.Entry, "serve", "--on-platform")
 	if err != nil {
 		return fault.Wrap(err, fault.Invalid, "check the path of the program", "start an entry")
 	}
-	e := &entry{process: started, proxy: p}
+	e := &entry{process: started, proxy: p, links: links}
 	h.entries = append(h.entries, e)
 	go h.probeReadiness(e)
 	return nil
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
@@ -21,12 +22,13 @@
 }
 
 const (
-	// maxPause is the maximum pause between the starts of two faults. Faults
-	// overlap, as most last longer.
-	maxPause = 700 * time.Millisecond
-	// minDuration and maxDuration are the limits of the duration of a fault.
-	minDuration = 100 * time.Millisecond
-	maxDuration = 2500 * time.Millisecond
+	// maxPauseShare is the maximum pause between the starts of two faults, as a share
+	// of the longest duration. Faults overlap, as most last longer.
+	maxPauseShare = 0.28
+	// minDurationShare is the shortest duration of a fault as a share of the longest.
+	minDurationShare = 0.04
+	// defaultMaxFault is the longest duration of a fault if the options have none.
+	defaultMaxFault = 2500 * time.Millisecond
 	// plannedOnlyShare is the share of seeds with planned maintenance only. Other
 	// faults suspend checks that these seeds make.
 	plannedOnlyShare = 0.25
@@ -119,6 +121,36 @@
 	{"cut callers off", 1, proxyFault(callerProxy, func(p *proxy, on bool) { p.blocked.Store(on) })},
 	{"reset callers", 2, proxyFault(callerProxy, func(p *proxy, on bool) { callIf(on, p.reset) })},
 	{"silence callers", 1, proxyFault(callerProxy, func(p *proxy, on bool) { callIf(on, func() { p.blackhole(true) }) })},
+	{"cut the links of an entry", 2, proxyFault(linkProxy, func(p *proxy, on bool) { p.blocked.Store(on) })},
+	{"hold back what an entry sends over links", 2, proxyFault(linkProxy, func(p *proxy, on bool) { p.heldFromServer.Store(on) })},
+	{"hold back what an entry gets over links", 2, proxyFault(linkProxy, func(p *proxy, on bool) { p.heldFromClient.Store(on) })},
+	{"slow the links of an entry", 1, proxyFault(linkProxy, func(p *proxy, on bool) { p.delay.Store(pick(on, int64(slowLinkDelay), 0)) })},
+	{"silence the links of an entry", 1, proxyFault(linkProxy, func(p *proxy, on bool) { callIf(on, func() { p.blackhole(true) }) })},
+	{"lose what an entry sends over links", 1, proxyFault(linkProxy, func(p *proxy, on bool) { callIf(on, func() { p.blackhole(false) }) })},
+	{"reset the links of an entry", 1, proxyFault(linkProxy, func(p *proxy, on bool) { callIf(on, p.reset) })},
+	{"hold back what callers send", 1, proxyFault(callerProxy, func(p *proxy, on bool) { p.heldFromClient.Store(on) })},
+	{"hold back what callers get", 1, proxyFault(callerProxy, func(p *proxy, on bool) { p.heldFromServer.Store(on) })},
+	{"cut an entry off", 3, entryFault(func(e *entry, on bool) {
+		e.proxy.blocked.Store(on)
+		e.links.blocked.Store(on)
+	})},
+	{"power an entry off", 3, entryFault(func(e *entry, on bool) {
+		e.proxy.blocked.Store(on)
+		e.links.blocked.Store(on)
+		e.signal(syscall.SIGKILL)
+	})},
+	{"slow an entry", 2, entryFault(func(e *entry, on bool) { e.slowed.Store(on) })},
+	{"slow an agent", 2, func(h *harness, _ time.Duration) (string, func()) {
+		a := h.agents[h.faultRandom.IntN(len(h.agents))]
+		a.slowed.Store(true)
+		return a.vm.Node, func() { a.slowed.Store(false) }
+	}},
+	{"kill all entries", 1, func(h *harness, _ time.Duration) (string, func()) {
+		for _, e := range h.entries {
+			e.signal(syscall.SIGKILL)
+		}
+		return allTargets, nil
+	}},
 	{"cut the store off", 1, proxyFault(storeProxy, func(p *proxy, on bool) { p.blocked.Store(on) })},
 	{"silence the store's connections", 1, proxyFault(storeProxy, func(p *proxy, on bool) { callIf(on, func() { p.blackhole(true) }) })},
 	{"stop the store", 2, storeFault(imitator.Unavailable)},
@@ -169,6 +201,22 @@
 	return e.proxy, e.vm.Node
 }
 
+// linkProxy draws an entry, and returns its proxy for links and its name.
+func linkProxy(h *harness) (*proxy, string) {
+	e := h.entries[h.faultRandom.IntN(len(h.entries))]
+	return e.links, e.vm.Node
+}
+
+// entryFault returns an injector that changes the state of an entry, and restores
+// it at the end.
+func entryFault(change func(e *entry, on bool)) func(*harness, time.Duration) (string, func()) {
+	return func(h *harness, _ time.Duration) (string, func()) {
+		e := h.entries[h.faultRandom.IntN(len(h.entries))]
+		change(e, true)
+		return e.vm.Node, func() { change(e, false) }
+	}
+}
+
 // storeProxy returns the proxy of the store and its target name.
 func storeProxy(h *harness) (*proxy, string) { return h.storeProxy, "store" }
 
@@ -209,15 +257,19 @@
 	if h.faultRandom.Float64() >= plannedOnlyShare {
 		kinds = append(append([]faultKind{}, unplannedFaults...), plannedMaintenance...)
 	}
+	if h.options.FaultPattern != nil {
+		kinds = slices.DeleteFunc(slices.Concat(unplannedFaults, plannedMaintenance), func(kind faultKind) bool { return !h.options.FaultPattern.MatchString(kind.name) })
+	}
 	totalWeight := 0
 	for _, kind := range kinds {
 		totalWeight += kind.weight
 	}
 	startTime := time.Now()
 	lastEnd := startTime
-	for time.Since(startTime) < h.options.FaultDuration {
+	minDuration, maxPause := share(minDurationShare, h.options.MaxFault), share(maxPauseShare, h.options.MaxFault)
+	for totalWeight > 0 && time.Since(startTime) < h.options.FaultDuration {
 		kind := chooseWeighted(kinds, h.faultRandom.IntN(totalWeight))
-		duration := minDuration + time.Duration(h.faultRandom.Int64N(int64(maxDuration-minDuration)))
+		duration := minDuration + time.Duration(h.faultRandom.Int64N(int64(h.options.MaxFault-minDuration)))
 		h.logFault(fmt.Sprintf("%s, %s", kind.name, duration))
 		target, end := kind.inject(h, duration)
 		if until := time.Now().Add(duration); until.After(lastEnd) {
@@ -235,6 +287,11 @@
 	time.Sleep(time.Until(lastEnd))
 }
 
+// share returns a share of a duration.
+func share(fraction float64, of time.Duration) time.Duration {
+	return time.Duration(fraction * float64(of))
+}
+
 // chooseWeighted returns the kind of fault for a number drawn below the total
 // weight.
 func chooseWeighted(kinds []faultKind, draw int) faultKind {
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -5,12 +5,17 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"agatevalve/platform/imitator"
 )
 
+// maxProcs is the number of threads that run Go code in each program. It is that of
+// a VM with less than a core.
+const maxProcs = "2"
+
 // process runs one of the programs and restarts it whenever it exits.
 type process struct {
 	harness *harness
@@ -29,10 +34,15 @@
 	restartDelay time.Duration
 	// closed prevents further restarts.
 	closed bool
+	// frozen is true between SIGSTOP and SIGCONT of a fault.
+	frozen bool
+	// slowed is true while a fault reduces the share of the processor.
+	slowed atomic.Bool
 }
 
-// startProcess writes the settings of a VM and starts its program.
-func (h *harness) startProcess(vm imitator.VM, args ...string) (*process, error) {
+// startProcess writes the settings of a VM and starts its program, with a share of
+// the processor if it is positive.
+func (h *harness) startProcess(vm imitator.VM, share float64, args ...string) (*process, error) {
 	logFile, err := os.Create(filepath.Join(h.options.Dir, vm.Node+".log"))
 	if err != nil {
 		return nil, err
@@ -41,7 +51,13 @@
 	if err := p.writeSettings(); err != nil {
 		return nil, err
 	}
-	return p, p.start()
+	if err := p.start(); err != nil {
+		return nil, err
+	}
+	if share > 0 {
+		go p.limitProcessor(share)
+	}
+	return p, nil
 }
 
 func (p *process) settingsPath() string {
@@ -65,7 +81,7 @@
 		return nil
 	}
 	cmd := exec.CommandContext(p.harness.ctx, p.args[0], p.args[1:]...)
-	cmd.Env = append(os.Environ(), "AGATEVALVE_BOOT="+p.settingsPath())
+	cmd.Env = append(os.Environ(), "AGATEVALVE_BOOT="+p.settingsPath(), "GOMAXPROCS="+maxProcs)
 	cmd.Stdout, cmd.Stderr = p.logFile, p.logFile
 	if err := cmd.Start(); err != nil {
 		return err
@@ -92,6 +108,12 @@
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	switch s {
+	case syscall.SIGSTOP:
+		p.frozen = true
+	case syscall.SIGCONT:
+		p.frozen = false
+	}
 	if p.cmd != nil {
 		_ = p.cmd.Process.Signal(s) // The process may have just exited.
 	}
--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -12,6 +12,11 @@
 // bufferSize is the maximum number of bytes that a proxy forwards at once.
 const bufferSize = 32 << 10
 
+// roundTrip is the time between the arrival of data that was held back and that of
+// what follows it, such as the end of the connection: TCP repeats lost data first,
+// and sends more once it is acknowledged.
+const roundTrip = 6 * time.Millisecond
+
 // proxy forwards TCP connections to one address and injects network faults.
 type proxy struct {
 	// target is the address to which connections are forwarded.
@@ -20,7 +25,8 @@
 	// delay is a delay in nanoseconds before each write, in both directions.
 	delay atomic.Int64
 	// blocked holds back all data in both directions, as a network partition does.
-	blocked atomic.Bool
+	// heldFromClient and heldFromServer hold back that of one direction.
+	blocked, heldFromClient, heldFromServer atomic.Bool
 
 	mu          sync.Mutex
 	connections map[*connection]bool
@@ -59,7 +65,7 @@
 
 // connect connects a client to the target, and forwards until either closes.
 func (p *proxy) connect(client net.Conn) {
-	for p.blocked.Load() {
+	for p.blocked.Load() || p.heldFromClient.Load() || p.heldFromServer.Load() {
 		time.Sleep(blockedPollInterval)
 	}
 	dialer := net.Dialer{Timeout: time.Second}
@@ -72,25 +78,30 @@
 	p.mu.Lock()
 	p.connections[c] = true
 	p.mu.Unlock()
-	go p.forward(c, server, client, &c.dropFromClient)
-	p.forward(c, client, server, &c.dropFromServer)
+	go p.forward(c, server, client, &c.dropFromClient, &p.heldFromClient)
+	p.forward(c, client, server, &c.dropFromServer, &p.heldFromServer)
 }
 
 // forward copies data in one direction until either end closes.
-func (p *proxy) forward(c *connection, to, from net.Conn, drop *atomic.Bool) {
+func (p *proxy) forward(c *connection, to, from net.Conn, drop, held *atomic.Bool) {
 	buffer := make([]byte, bufferSize)
 	for {
 		n, err := from.Read(buffer)
 		if delay := p.delay.Load(); delay > 0 {
 			time.Sleep(time.Duration(delay))
 		}
-		for p.blocked.Load() {
+		wasHeld := false
+		for p.blocked.Load() || held.Load() {
+			wasHeld = true
 			time.Sleep(blockedPollInterval)
 		}
 		if n > 0 && !drop.Load() {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				err = writeErr
 			}
+			if wasHeld {
+				time.Sleep(roundTrip)
+			}
 		}
 		if err != nil {
 			break
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"regexp"
 	"sync"
 	"time"
 
@@ -37,7 +38,7 @@
 	// resubmitDelay is the delay before an unanswered job is submitted again.
 	resubmitDelay = 1300 * time.Millisecond
 	// maxSubmissions is the maximum number of submissions of a job.
-	maxSubmissions = 2
+	maxSubmissions = 3
 	// reportInterval is the interval of the minions' status reports.
 	reportInterval = 1500 * time.Millisecond
 	// retryInterval is the interval after a failed status report, and between
@@ -74,10 +75,19 @@
 	// Block selects a range of loopback addresses, from 0, so that soak tests with
 	// the same seed can run at the same time.
 	Block int
-	// FaultDuration is the time during which faults are injected.
-	FaultDuration time.Duration
-	Entries       int
-	Agents        int
+	// FaultDuration is the time during which faults are injected, and MaxFault the
+	// longest duration of one; 0 for the default.
+	FaultDuration, MaxFault time.Duration
+	// FaultPattern selects the faults to inject by their names; nil for a random choice
+	// between all faults and planned maintenance only.
+	FaultPattern *regexp.Regexp
+	Entries      int
+	Agents       int
+	// EntryShare and AgentShare are the shares of a core that each entry and each
+	// agent may use; 0 for no limit.
+	EntryShare, AgentShare float64
+	// JobsPerSecond is the mean rate at which jobs are submitted; 0 for the default.
+	JobsPerSecond float64
 	// Entry and Agent are the paths of the programs.
 	Entry, Agent string
 	// Dir is the directory for settings files and logs.
@@ -135,6 +145,12 @@
 	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
 		return Result{}, fault.Wrap(err, fault.Invalid, "name a directory that can be written", "make %s", o.Dir)
 	}
+	if o.JobsPerSecond <= 0 {
+		o.JobsPerSecond = defaultJobsPerSecond
+	}
+	if o.MaxFault <= 0 {
+		o.MaxFault = defaultMaxFault
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h := &harness{
@@ -278,6 +294,7 @@
 	for _, e := range h.entries {
 		e.close()
 		e.proxy.close()
+		e.links.close()
 	}
 	for _, a := range h.agents {
 		a.close()
