scheduler: Keep the runs of a job apart from those of its last submission

Callers saw: two runs of one task at once (TWICE) when a job came again at the entry that had just given it up, as after a cut that held its requests back. Cause: an entry numbers the runs of each submission from 1. The end of a run of the withdrawn submission, still on its way, was taken for the end of the run that had replaced it, and the task was placed a second time while that run went on, unknown to the entry. Besides, a task was placed while its last run was still being stopped. Runs of an agent out of reach are forgotten after the time in which they end, also if none of its other runs is waited for.

--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -46,9 +45,9 @@
 	// those that the load does not include yet, oldest first.
 	ordersSent    uint64
 	pendingOrders []pendingOrder
-	// stopping holds the room of the runs that were ordered to stop and have not
-	// ended.
-	stopping map[work.Run]work.Room
+	// stopping holds the runs that were ordered to stop and have not ended. It is
+	// changed together with the core's stoppingTasks.
+	stopping map[work.Run]bool
 	// acked is the highest sequence number of a processed report, and ackSent the
 	// highest one acknowledged over the open link.
 	acked, ackSent uint64
@@ -114,7 +113,7 @@
 func (ev LinkOpened) apply(c *Core, now time.Time) {
 	a := c.agents[ev.Agent]
 	if a == nil {
-		a = &agent{id: ev.Agent, rank: rankOf(ev.Agent.Name), runs: make(map[work.Run]*task), stopping: make(map[work.Run]work.Room)}
+		a = &agent{id: ev.Agent, rank: rankOf(ev.Agent.Name), runs: make(map[work.Run]*task), stopping: make(map[work.Run]bool)}
 		c.addAgent(a)
 	}
 	if ev.Link < a.link {
@@ -137,11 +136,11 @@
 			c.handleReport(now, a, work.Report{Run: t.run(), State: work.Refused, Reason: work.ReasonUnstarted})
 		}
 	}
-	for _, run := range slices.SortedFunc(maps.Keys(a.stopping), work.Compare) {
+	for _, run := range sortedRuns(a.stopping) {
 		if held[run] {
 			c.emit(Stop{Agent: a.id, Link: a.link, Run: run})
 		} else {
-			delete(a.stopping, run)
+			c.removeStopping(a, run)
 		}
 	}
 	c.acknowledge(a)
@@ -254,7 +253,7 @@
 	for _, t := range sortedTasks(a.runs) {
 		c.handleReport(now, a, work.Report{Run: t.run(), State: work.Lost, Reason: reason})
 	}
-	clear(a.stopping)
+	c.clearStopping(a)
 }
 
 // expireAgents handles the runs of an agent as lost once it has been
@@ -267,7 +266,7 @@
 			continue
 		}
 		downtime := now.Sub(a.disconnectedAt)
-		if downtime > c.options.RunLossTimeout && len(a.runs) > 0 {
+		if downtime > c.options.RunLossTimeout && len(a.runs)+len(a.stopping) > 0 {
 			c.markRunsLost(now, a, "its agent is disconnected")
 		}
 		if downtime > agentRetention && len(a.runs) == 0 {
@@ -334,11 +333,11 @@
 // for. A run that has not ended is stopped.
 func (c *Core) handleUnknownRun(a *agent, report work.Report) {
 	if report.State.Ended() {
-		delete(a.stopping, report.Run)
+		c.removeStopping(a, report.Run)
 		return
 	}
-	if _, stopSent := a.stopping[report.Run]; !stopSent && a.link != 0 {
-		a.stopping[report.Run] = work.Room{}
+	if !a.stopping[report.Run] && a.link != 0 {
+		c.addStopping(a, report.Run)
 		c.emit(Stop{Agent: a.id, Link: a.link, Run: report.Run})
 	}
 }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -68,6 +68,11 @@
 	// deadlines holds the deadlines of jobs, including some that have been
 	// answered.
 	deadlines *heap.Heap[jobDeadline]
+	// stoppingTasks counts, by task, the runs that were ordered to stop and have not
+	// ended. Such a task is not placed.
+	stoppingTasks map[work.Task]int
+	// usedNumbers are the run numbers of jobs that have ended.
+	usedNumbers usedNumbers
 	// waiting holds the tasks that are not placed at an agent.
 	waiting []*task
 	// lastExpiryCheck is the time of the last check for waiting tasks that can't
@@ -172,6 +177,7 @@
 	}
 	return &Core{
 		options: o, agents: make(map[AgentID]*agent), jobs: make(map[string]*job), estimator: newEstimator(), arrivals: newArrivals[int](arrivalWindow),
+		stoppingTasks: make(map[work.Task]int), usedNumbers: usedNumbers{highest: make(map[string]usedNumber)},
 		attributor: attributor.New(), bulkheads: newBulkheads(), locality: newLocality(o.RemoteDataFactor), downtime: defaultDowntime,
 		deadlines: heap.New(func(a, b jobDeadline) bool { return a.deadline.Before(b.deadline) }),
 	}
@@ -189,6 +195,7 @@
 	c.partition(now)
 	c.expireAgents(now)
 	c.expireJobs(now)
+	c.usedNumbers.expire(now)
 	c.expireWaiting(now)
 	c.placeWaiting(now)
 	c.reviewWaiting(now)
@@ -245,6 +252,7 @@
 
 // dropAgent removes an agent that has no runs.
 func (c *Core) dropAgent(a *agent) {
+	c.clearStopping(a)
 	delete(c.agents, a.id)
 	c.sortedAgents = slices.DeleteFunc(c.sortedAgents, func(o *agent) bool { return o == a })
 }
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -78,7 +78,8 @@
 type task struct {
 	job   *job
 	index int
-	// runNumber is the number of the latest run; 0 before the first.
+	// runNumber is the number of the latest run, or before the first one the highest
+	// number that the last submission of the job used; 0 if there was none.
 	runNumber int
 	// agent has the latest run; nil while the task waits.
 	agent *agent
@@ -147,7 +148,7 @@
 	c.deadlines.Push(jobDeadline{deadline: j.Deadline, job: j})
 	j.tasks = make([]*task, j.Count)
 	for i := range j.tasks {
-		j.tasks[i] = &task{job: j, index: i}
+		j.tasks[i] = &task{job: j, index: i, runNumber: c.usedNumbers.highest[j.ID].number}
 		c.enqueue(j.tasks[i])
 	}
 }
@@ -189,6 +190,7 @@
 // capacity.
 func (c *Core) finishWithRetry(now time.Time, j *job, outcome work.Outcome, reason string, retry time.Duration) {
 	delete(c.jobs, j.ID)
+	c.usedNumbers.record(now, j)
 	c.emit(Answer{
 		Tickets: j.tickets, Job: j.ID, Outcome: outcome, Reason: reason, RetryAfter: retry,
 		Tasks: j.Count, Expected: j.expectedWork, Age: now.Sub(j.Arrived),
@@ -226,7 +228,7 @@
 	run := t.run()
 	a.removeRun(t)
 	c.endProbation(a, t)
-	a.stopping[run] = t.order.Room
+	c.addStopping(a, run)
 	if a.link != 0 {
 		c.emit(Stop{Agent: a.id, Link: a.link, Run: run})
 	}
@@ -238,9 +240,11 @@
 // job.
 func (t *task) avoidsMinions() bool { return len(t.failedMinions) > 0 || len(t.movedFrom) > 0 }
 
-func (t *task) run() work.Run {
-	return work.Run{Task: work.Task{Job: t.job.ID, Index: t.index}, Number: t.runNumber}
-}
+// id returns the name of the task.
+func (t *task) id() work.Task { return work.Task{Job: t.job.ID, Index: t.index} }
+
+// run returns the name of the latest run.
+func (t *task) run() work.Run { return work.Run{Task: t.id(), Number: t.runNumber} }
 
 // expireJobs gives up the jobs whose deadline has passed.
 func (c *Core) expireJobs(now time.Time) {
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -65,7 +65,7 @@
 		if c.jobs[t.job.ID] != t.job {
 			continue
 		}
-		if t.job.unplaceableAt.Equal(now) || c.awaitsProbation(t) {
+		if t.job.unplaceableAt.Equal(now) || c.awaitsProbation(t) || c.stoppingTasks[t.id()] > 0 {
 			c.waiting = append(c.waiting, t)
 			continue
 		}
