soaker: Make no connection whose client gave up while it was held

Callers saw: nothing; a flaw of the test bed. Cause: a proxy accepts a connection during a cut and opened the other half after it, also for a client that had gone. In a network that connection isn't made. Change: the proxy reads what the client has sent, and aborts if it has gone.

--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,15 +67,29 @@
 
 // connect connects a client to the target, and forwards until either closes.
 func (p *proxy) connect(client net.Conn) {
+	wasHeld := false
 	for p.blocked.Load() || p.heldFromClient.Load() || p.heldFromServer.Load() {
+		wasHeld = true
 		time.Sleep(blockedPollInterval)
 	}
+	var sent []byte
+	if wasHeld {
+		var connected bool
+		if sent, connected = readAvailable(client); !connected {
+			abort(client)
+			return
+		}
+	}
 	dialer := net.Dialer{Timeout: time.Second}
 	server, err := dialer.DialContext(context.Background(), "tcp", p.target.String())
 	if err != nil {
 		abort(client) // As if nothing listened at the port.
 		return
 	}
+	if _, err := server.Write(sent); err != nil {
+		abort(client)
+		return
+	}
 	c := &connection{client: client, server: server}
 	p.mu.Lock()
 	p.connections[c] = true
@@ -82,6 +98,21 @@
 	p.forward(c, client, server, &c.dropFromServer, &p.heldFromServer)
 }
 
+// readAvailable reads what a client has sent while it waited for its connection. It
+// reports false if the client has given up, as no connection is made then.
+func readAvailable(client net.Conn) (sent []byte, connected bool) {
+	defer func() { _ = client.SetReadDeadline(time.Time{}) }() // Reading reports a closed connection.
+	buffer := make([]byte, bufferSize)
+	for {
+		_ = client.SetReadDeadline(time.Now().Add(time.Millisecond))
+		n, err := client.Read(buffer)
+		sent = append(sent, buffer[:n]...)
+		if err != nil {
+			return sent, errors.Is(err, os.ErrDeadlineExceeded)
+		}
+	}
+}
+
 // forward copies data in one direction until either end closes.
 func (p *proxy) forward(c *connection, to, from net.Conn, drop, held *atomic.Bool) {
 	buffer := make([]byte, bufferSize)
