screener: Run late requests only if their callers stay

Callers saw: two runs of one task at once (TWICE) in runs of the real processes. Cause: a cut between callers and an entry holds requests back. They arrive after it, and the end of their connections a round trip later, since TCP first repeats what was lost; the kernel delays its acknowledgement by up to 40 ms besides. Meanwhile the callers have submitted the jobs at other entries, which run them. In the round trip the entry starts the tasks once more. Change: a response on a connection shows that the next request was sent after it. The job of a request on a connection that was quiet for nearly as long as callers wait before they come again runs only if the connection lasts for 15 ms; the request is acknowledged at once. The kernel is asked for the end too, since a process short of processor time may get to its timer first. The tests of screener fail without the wait, the acknowledgement or the look at the kernel.

--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -21,6 +21,7 @@
 	"agatevalve/registrar"
 	"agatevalve/relayer"
 	"agatevalve/scheduler"
+	"agatevalve/screener"
 	"agatevalve/subscriber"
 )
 
@@ -119,12 +120,14 @@
 	if err := e.serveMetrics(); err != nil {
 		return err
 	}
-	callers, err := e.serve("callers", s.CallersAddress, platform.NewJobHandler(platform.JobHandlerOptions{
-		Jobs: e.relayer, Finder: finder.New(finder.Options{
+	screen := screener.New(screener.Options{Jobs: e.relayer, ResubmitDelay: s.ResubmitDelay, Log: e.log, Metrics: e.metrics})
+	jobHandler := platform.NewJobHandler(platform.JobHandlerOptions{
+		Jobs: screen, Finder: finder.New(finder.Options{
 			Jobs: e.jobs, Others: func() []netip.AddrPort { return e.knownEntries()[1:] }, Ask: coupler.FindJob, Log: e.log,
 		}),
 		Configuration: e.subscriber.Configuration, Leaving: e.leaving.Load, Log: e.log,
-	}))
+	})
+	callers, err := e.serve("callers", s.CallersAddress, screen.Handler(jobHandler), func(l *listener.Listener) { l.SetConnContext(screen.ConnContext) })
 	e.callerListener = callers
 	if err != nil {
 		return err
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -73,12 +73,16 @@
 	return task.Incarnation(uint64(time.Now().UnixMilli())<<16 | uint64(binary.BigEndian.Uint16(salt[:])))
 }
 
-// serve starts an HTTP server at an address. The caller stops it with stopServing.
-func (p *process) serve(name string, address netip.AddrPort, handler http.Handler) (*listener.Listener, error) {
+// serve starts an HTTP server at an address, after configure if any is given. The
+// caller stops it with stopServing.
+func (p *process) serve(name string, address netip.AddrPort, handler http.Handler, configure ...func(*listener.Listener)) (*listener.Listener, error) {
 	l, err := listener.Open(name, address)
 	if err != nil {
 		return nil, err
 	}
+	for _, apply := range configure {
+		apply(l)
+	}
 	l.Serve(handler, maxHeaderBytes, p.log)
 	p.listeners = append(p.listeners, l)
 	return l, nil
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -29,6 +29,9 @@
 	name    string
 	address netip.AddrPort
 	socket  net.Listener
+	// connContext is called for each new connection, as http.Server.ConnContext; nil
+	// for nothing.
+	connContext func(context.Context, net.Conn) context.Context
 	// http is nil until Serve is called.
 	http  *http.Server
 	group sync.WaitGroup
@@ -55,6 +58,12 @@
 // Close closes the socket. It is for a listener that doesn't serve yet.
 func (l *Listener) Close() error { return l.socket.Close() }
 
+// SetConnContext sets a function that extends the context of each new connection. It
+// must be called before Serve.
+func (l *Listener) SetConnContext(extend func(context.Context, net.Conn) context.Context) {
+	l.connContext = extend
+}
+
 // Serve serves the address until Stop. Requests with more than headerBytes of
 // headers are refused.
 func (l *Listener) Serve(handler http.Handler, headerBytes int, log *slog.Logger) {
@@ -63,6 +72,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	l.http = &http.Server{
 		Handler:           handler,
+		ConnContext:       l.connContext,
 		Protocols:         protocols,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
