--- a/soaker/process.go
+++ b/soaker/process.go
@@ -36,7 +36,8 @@
 	closed bool
 	// frozen is true between SIGSTOP and SIGCONT of a fault.
 	frozen bool
-	// slowed is true while a fault reduces the share of the processor.
+	// slowed is true while a fault reduces the share of the processor. It has no effect
+	// on a process without a limit.
 	slowed atomic.Bool
 }
 
