--- a/jobber/jobber.go
+++ b/jobber/jobber.go
@@ -286,7 +286,7 @@
 func (j *Jobber) answer(c scheduler.Answer) {
 	j.metrics.outcomes[c.Outcome].Inc(1)
 	j.options.Log.Info("scheduler: Answered a job", "job", c.Job, "outcome", c.Outcome.String(), "reason", c.Reason, "retry-after", c.RetryAfter,
-		"tasks", c.Tasks, "expected", c.Expected, "age", c.Age)
+		"tasks", c.Tasks, "expected", c.Expected, "age", c.Age, "until-deadline", c.UntilDeadline)
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for _, ticket := range c.Tickets {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -141,11 +141,13 @@
 	// RetryAfter is the time after which a refused caller may expect free
 	// capacity; zero for no advice.
 	RetryAfter time.Duration
-	// Tasks, Expected and Age are for the log: the number of tasks, the expected
-	// work of one task, and the time since the job arrived.
-	Tasks    int
-	Expected time.Duration
-	Age      time.Duration
+	// Tasks, Expected, Age and UntilDeadline are for the log: the number of tasks,
+	// the expected work of one task, the time since the job arrived, and the time
+	// left until its deadline.
+	Tasks         int
+	Expected      time.Duration
+	Age           time.Duration
+	UntilDeadline time.Duration
 }
 
 // LogMessage is a message for the log.
--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -56,7 +56,9 @@
 // minions is tried again once its route is free.
 func (c *Core) answerCondemned(now time.Time, ev Submitted) bool {
 	v, condemned := c.attributor.Verdict(ev.Job.ID)
-	answer := Answer{Tickets: []uint64{ev.Ticket}, Job: ev.Job.ID, Tasks: ev.Job.Count, Age: now.Sub(ev.Job.Arrived)}
+	answer := Answer{
+		Tickets: []uint64{ev.Ticket}, Job: ev.Job.ID, Tasks: ev.Job.Count, Age: now.Sub(ev.Job.Arrived), UntilDeadline: ev.Job.Deadline.Sub(now),
+	}
 	switch {
 	case condemned && v.Kind.Final():
 		answer.Outcome, answer.Reason = work.Exhausted, reasonCrashes
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -139,7 +139,7 @@
 	if reason, retry := c.checkAdmission(now, j); reason != "" {
 		c.emit(Answer{
 			Tickets: j.tickets, Job: j.ID, Outcome: work.NotRun, Reason: reason, RetryAfter: retry,
-			Tasks: j.Count, Expected: j.expectedWork, Age: now.Sub(j.Arrived),
+			Tasks: j.Count, Expected: j.expectedWork, Age: now.Sub(j.Arrived), UntilDeadline: j.Deadline.Sub(now),
 		})
 		return
 	}
@@ -193,7 +193,7 @@
 	c.usedNumbers.record(now, j)
 	c.emit(Answer{
 		Tickets: j.tickets, Job: j.ID, Outcome: outcome, Reason: reason, RetryAfter: retry,
-		Tasks: j.Count, Expected: j.expectedWork, Age: now.Sub(j.Arrived),
+		Tasks: j.Count, Expected: j.expectedWork, Age: now.Sub(j.Arrived), UntilDeadline: j.Deadline.Sub(now),
 	})
 	for _, t := range j.tasks {
 		if t.agent != nil && !t.done {
