scheduler, launcher: Answer all callers before an entry stops

Callers saw: nothing yet, since every job ends within the 1.5 s of its route. A job that may run for longer than the 5.5 s of a graceful stop was cut off without an answer. Cause: a stopping entry waited for its jobs, and then closed the connections that were left. Change: it answers by 0.8 s before the end of the stop. New jobs that can't end by then are refused at once and can be sent to another entry; jobs under way are given up as soon as it is known that they can't; jobs at other entries are withdrawn.

--- a/jobber/jobber.go
+++ b/jobber/jobber.go
@@ -152,6 +152,10 @@
 	}
 }
 
+// StopAt gives up the jobs that can't be answered before a time, at which this
+// entry stops.
+func (j *Jobber) StopAt(at time.Time) { j.Enqueue(scheduler.EntryStopping{At: at}) }
+
 // Cancel stops a job, and reports whether it was known.
 func (j *Jobber) Cancel(id string) bool {
 	j.mu.Lock()
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"agatevalve/common/clock"
 	"agatevalve/common/work"
 	"agatevalve/coupler"
 	"agatevalve/finder"
@@ -29,6 +30,11 @@
 // not ready. It needs two readiness probes, which it sends once per second.
 const balancerDelay = 2300 * time.Millisecond
 
+// answerReserve is the time before the end of a graceful stop by which all callers
+// have been answered. It covers the interval of up to 500 ms at which http.Server
+// checks whether connections are still in use.
+const answerReserve = 800 * time.Millisecond
+
 // announceTimeout is the timeout for all requests with which a new entry announces
 // itself to the others.
 const announceTimeout = time.Second
@@ -221,6 +227,10 @@
 func (e *entryProcess) stop() error {
 	deadline := time.Now().Add(e.stopTimeout())
 	e.leaving.Store(true)
+	answerBy := deadline.Add(-answerReserve)
+	e.jobs.StopAt(clock.Now().Add(time.Until(answerBy)))
+	relayStop := time.AfterFunc(time.Until(answerBy), e.relayer.Stop)
+	defer relayStop.Stop()
 	time.Sleep(balancerDelay)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -80,6 +80,9 @@
 	entries, peers []netip.AddrPort
 	// relayed holds the jobs at other entries, by id.
 	relayed map[string]*relayedJob
+	// stopped is closed by Stop.
+	stopped  chan struct{}
+	stopOnce sync.Once
 	// local counts the calls that run a job at this entry, by id; never 0. Such a
 	// job is not handed over when it is submitted again.
 	local map[string]int
@@ -108,7 +111,7 @@
 // New returns a relayer that hands nothing over yet.
 func New(o Options) *Relayer {
 	return &Relayer{
-		options: o, relayed: make(map[string]*relayedJob), local: make(map[string]int), chooser: chooser{random: o.Random, states: make(map[netip.AddrPort]*peerState)},
+		options: o, relayed: make(map[string]*relayedJob), local: make(map[string]int), stopped: make(chan struct{}), chooser: chooser{random: o.Random, states: make(map[netip.AddrPort]*peerState)},
 		handedOver: metrics.GetOrRegisterCounter("jobs-handed-over", o.Metrics),
 		refused:    metrics.GetOrRegisterCounter("jobs-not-taken", o.Metrics),
 		taken:      metrics.GetOrRegisterCounter("jobs-taken-over", o.Metrics),
@@ -133,6 +136,9 @@
 	case <-ctx.Done():
 		r.leave(job.ID, j, false)
 		return jobber.Result{Outcome: work.Unfinished, Reason: "the caller has left"}
+	case <-r.stopped:
+		r.leave(job.ID, j, false)
+		return jobber.Result{Outcome: work.Unfinished, Reason: "this entry is stopping"}
 	}
 	r.leave(job.ID, j, !j.taken)
 	if !j.taken {
@@ -143,6 +149,10 @@
 	return j.result
 }
 
+// Stop answers the callers whose jobs are at other entries, and withdraws these
+// jobs.
+func (r *Relayer) Stop() { r.stopOnce.Do(func() { close(r.stopped) }) }
+
 // runHere runs a job that is counted in local.
 func (r *Relayer) runHere(ctx context.Context, job work.Job) jobber.Result {
 	defer func() {
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -144,6 +144,20 @@
 	is.Equal(len(c.carried), 0)
 }
 
+func TestStoppingEntryAnswersJobsThatOthersRun(t *testing.T) {
+	is := is.New(t)
+	jobs, c := &localJobs{}, &carrier{carried: make(chan func(jobber.Result, bool), 1)}
+	r := newOverloaded(t, jobs, c)
+	results := make(chan jobber.Result, 1)
+	go func() { results <- r.Submit(context.Background(), work.Job{ID: "a", Arrived: clock.Now()}) }()
+	done := <-c.carried
+	r.Stop()
+	is.Equal((<-results).Outcome, work.Unfinished)
+	is.Equal(c.withdrawn, []string{"a"})
+	done(jobber.Result{}, true) // Too late for anybody.
+	is.Equal(len(jobs.submitted), 0)
+}
+
 func TestLastCallerThatLeavesWithdrawsTheJob(t *testing.T) {
 	is := is.New(t)
 	jobs, c := &localJobs{}, &carrier{carried: make(chan func(jobber.Result, bool), 1)}
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// reasonBacklog is the reason of refusals because of the backlog.
-const reasonBacklog = "too much work waits before it"
+const (
+	// reasonBacklog is the reason of refusals because of the backlog.
+	reasonBacklog = "too much work waits before it"
+	// reasonTooLong is the reason for which admitted jobs are given up as hopeless.
+	reasonTooLong = "its tasks can't end before the deadline"
+)
 
 const (
 	// minOwnShare is the lower bound of this entry's expected share of the
@@ -69,6 +73,9 @@
 		return "no minion of the service is in reach", c.retryAfterReturn(now, j)
 	}
 	if end := now.Add(f.earliestEnd); end.After(j.Deadline) {
+		if c.endsWithStop(j) {
+			return reasonStopping, minRetryAfter
+		}
 		return "it can't end before its deadline", clampRetryAfter(end.Sub(j.Deadline))
 	}
 	ahead, all := c.backlog(now, j)
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -371,7 +371,7 @@
 		t.runNumber += seenNumberStride
 	case work.ReasonLate:
 		if !c.canFinish(now, t.job, time.Duration(minWorkFactor*float64(t.job.expectedWork))) {
-			c.giveUp(now, t.job, "its tasks can't end before the deadline")
+			c.giveUp(now, t.job, c.lateReason(t.job, reasonTooLong))
 			return
 		}
 	case work.ReasonUnhealthy:
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -66,8 +66,11 @@
 	// jobs holds the jobs that have not been answered, by id.
 	jobs map[string]*job
 	// deadlines holds the deadlines of jobs, including some that have been
-	// answered.
+	// answered or have an earlier one.
 	deadlines *heap.Heap[jobDeadline]
+	// stopsAt is the time at which this entry stops; zero while it isn't stopping.
+	// No job has a later deadline.
+	stopsAt time.Time
 	// stoppingTasks counts, by task, the runs that were ordered to stop and have not
 	// ended. Such a task is not placed.
 	stoppingTasks map[work.Task]int
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -131,6 +131,7 @@
 		return
 	}
 	ev.Job.Room, ev.Job.Hint = ev.Job.Room.Bounded(), work.BoundedDuration(ev.Job.Hint)
+	c.boundByStop(&ev.Job)
 	j := &job{Job: ev.Job, tickets: []uint64{ev.Ticket}, unfinishedTasks: ev.Job.Count}
 	j.expectedWork = c.estimator.estimate(ev.Job.Route, ev.Job.Hint)
 	j.setObjective(j.expectedWork)
@@ -256,6 +257,6 @@
 	}
 	slices.SortFunc(expired, func(a, b *job) int { return strings.Compare(a.ID, b.ID) })
 	for _, j := range expired {
-		c.giveUp(now, j, "the deadline has passed")
+		c.giveUp(now, j, c.lateReason(j, "the deadline has passed"))
 	}
 }
--- a/scheduler/moving.go
+++ b/scheduler/moving.go
@@ -62,7 +62,7 @@
 		c.emit(Stop{Agent: a.id, Link: a.link, Run: report.Run})
 	case report.Reliable && end.Sub(j.Deadline) > projectionError(report):
 		c.emit(LogMessage{Text: "A run can't end in time", Job: j.ID, Run: report.Run, Agent: a.id, State: work.Started, Attributes: attributes})
-		c.giveUp(now, j, "its tasks can't end before the deadline")
+		c.giveUp(now, j, c.lateReason(j, reasonTooLong))
 	}
 }
 
@@ -164,7 +164,7 @@
 	case !reachable && !c.awaitsReturn(now, j):
 		return "no minion is in reach"
 	case c.earliestStart(now, j).Add(time.Duration(minWorkFactor / maxSpeedup * float64(j.expectedWork))).After(j.Deadline):
-		return "its tasks can't end before the deadline"
+		return c.lateReason(j, reasonTooLong)
 	case j.mayHaveStarted || !now.After(t.latestStart()):
 		return ""
 	}
