admitter, platform: Let jobs run until the deadline of their caller

Cause: the deadline of a job was the earlier one of its caller and of the route's time limit of 1.5 s. That limit is for requests without a deadline of their own: so the table of routes, the command line and the product's own interface have it, and the callers' protocol has no other word on it than that the header says how long they wait.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -3,6 +3,7 @@
 package admitter
 
 import (
+	"cmp"
 	"time"
 
 	"agatevalve/common/fault"
@@ -15,8 +16,8 @@
 	// is sent: about twice the longest one-way latency to a caller, 3 ms, plus a
 	// late timer.
 	answerMargin = 12 * time.Millisecond
-	// maxAnswerTime is the time limit of an answer on a route that sets none.
-	maxAnswerTime = time.Minute
+	// defaultAnswerTime is the time limit of an answer on a route that sets none.
+	defaultAnswerTime = time.Minute
 )
 
 // Admit returns the job of a submission on its route. A fault of kind Invalid
@@ -47,14 +48,12 @@
 }
 
 // deadline returns the time by which the answer has to be sent: before the
-// caller stops waiting, and within the time limit of the route.
+// caller stops waiting. The time limit of the route is for callers that don't
+// say how long they wait.
 func deadline(s work.Submission, answerWithin time.Duration) time.Time {
-	end := s.Arrived.Add(maxAnswerTime)
-	if answerWithin > 0 {
-		end = s.Arrived.Add(answerWithin)
-	}
-	if !s.Deadline.IsZero() && s.Deadline.Before(end) {
-		end = s.Deadline
+	end := s.Deadline
+	if end.IsZero() {
+		end = s.Arrived.Add(cmp.Or(answerWithin, defaultAnswerTime))
 	}
 	return end.Add(-min(answerMargin, end.Sub(s.Arrived)/2))
 }
