soaker: Submit long jobs whose callers wait

Cause: all callers of the soak waited for 1.5 s, so nothing played a job that outlasts a graceful stop, a cut or the restart of an agent. Change: three jobs in a hundred have one task of 1 to 4 s, and a caller who waits for 13 s. The check of connections that are cut without an answer covers half of that.

--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -29,6 +29,12 @@
 	// connectionLossGrace is the time after a request within which its connection
 	// may end, as the entry may have closed it while the request was in flight.
 	connectionLossGrace = 200 * time.Millisecond
+	// longShare is the share of jobs with one task of minLongTask to maxLongTask. Their
+	// callers wait for longAnswerTimeout, which exceeds a graceful stop.
+	longShare         = 0.03
+	minLongTask       = time.Second
+	maxLongTask       = 4 * time.Second
+	longAnswerTimeout = 13 * time.Second
 	// poisonShare is the share of jobs whose tasks always fail.
 	poisonShare = 0.03
 	// deadlyShare is the share of jobs whose first task crashes its minion, and
@@ -121,9 +127,15 @@
 		ID: fmt.Sprintf("%016x", h.trafficRandom.Uint64()), Spec: "spec", Count: kind.Count, Room: kind.Room, Label: kind.Label, MaxPerMinion: kind.MaxPerMinion,
 		Hint: time.Duration((0.6 + 0.8*h.trafficRandom.Float64()) * float64(kind.taskDuration)),
 	}}
+	job.answerTimeout = answerTimeout
+	duration := kind.taskDuration
+	if h.trafficRandom.Float64() < longShare {
+		duration = minLongTask + time.Duration(h.trafficRandom.Int64N(int64(maxLongTask-minLongTask)))
+		job.Count, job.Hint, job.answerTimeout = 1, duration, longAnswerTimeout
+	}
 	poison := h.trafficRandom.Float64() < poisonShare
-	for range kind.Count {
-		job.profiles = append(job.profiles, emulator.TaskProfile{Room: kind.Room, Work: kind.taskDuration, Fails: poison})
+	for range job.Count {
+		job.profiles = append(job.profiles, emulator.TaskProfile{Room: kind.Room, Work: duration, Fails: poison})
 	}
 	switch draw := h.trafficRandom.Float64(); {
 	case draw < disconnectShare:
@@ -136,8 +148,9 @@
 	return job, kind.prefix, behaviour
 }
 
-// submitUntilAnswered submits a job until it is answered, maxSubmissions are
-// reached or the caller disconnects. It returns the last outcome.
+// submitUntilAnswered submits a job until it is answered, maxSubmissions or the
+// time that its caller waits are used up, or the caller disconnects. It returns the
+// last outcome.
 func (h *harness) submitUntilAnswered(client *http.Client, job *jobRecord, prefix string, entryIndex int, behaviour callerBehaviour) work.Outcome {
 	ctx, disconnect := context.WithCancel(h.ctx)
 	defer disconnect()
@@ -157,21 +170,25 @@
 		defer timer.Stop()
 	}
 	var reply imitator.Reply
+	firstSent := time.Now()
 	for n := 1; n <= maxSubmissions; n++ {
 		e := h.pickEntry(entryIndex)
 		entryIndex++
 		sent, incarnation := time.Now(), e.incarnation()
-		patience := answerTimeout
+		patience := job.answerTimeout
 		if behaviour.kind == returns && n == 1 {
 			patience = behaviour.after
 		}
 		submitCtx, cancelSubmit := context.WithTimeout(ctx, patience)
-		reply = imitator.Submit(submitCtx, client, e.callersAddress(), prefix, job.Job, answerTimeout)
+		reply = imitator.Submit(submitCtx, client, e.callersAddress(), prefix, job.Job, job.answerTimeout)
 		cancelSubmit()
 		disconnected := ctx.Err() != nil
 		resubmit := !disconnected && n < maxSubmissions && (!reply.Complete || reply.Outcome == work.Unfinished)
+		if job.answerTimeout > answerTimeout && time.Since(firstSent) > job.answerTimeout {
+			resubmit = false
+		}
 		h.checker.jobAnswered(job, reply.Outcome, !resubmit)
-		if elapsed := time.Since(sent); !reply.Complete && !disconnected && elapsed < min(patience, answerTimeout/2) {
+		if elapsed := time.Since(sent); !reply.Complete && !disconnected && elapsed < min(patience, job.answerTimeout/2) {
 			h.checkConnectionLoss(job, e, incarnation, sent, elapsed)
 		}
 		if !resubmit {
--- a/soaker/checker.go
+++ b/soaker/checker.go
@@ -80,6 +80,8 @@
 
 	// profiles holds what each task really needs, by index.
 	profiles []emulator.TaskProfile
+	// answerTimeout is the time within which its caller expects an answer.
+	answerTimeout time.Duration
 	// allNotRun is true while all answers had the outcome NotRun.
 	allNotRun bool
 	// finished is true after the answer to the last submission.
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -33,7 +33,7 @@
 	storePort     = 9100
 	// maxAttempts is the number of failed runs of a task after which its job fails.
 	maxAttempts = 3
-	// answerTimeout is the time within which callers expect an answer.
+	// answerTimeout is the time within which most callers expect an answer.
 	answerTimeout = 1500 * time.Millisecond
 	// resubmitDelay is the delay before an unanswered job is submitted again.
 	resubmitDelay = 1300 * time.Millisecond
