--- a/rehearser/callers.go
+++ b/rehearser/callers.go
@@ -13,8 +13,10 @@
 const (
 	// serviceName is the service of all jobs and minions.
 	serviceName = "desk"
-	// callerTimeout is the deadline of callers.
+	// callerTimeout is the time for which callers wait, on days of patient callers
+	// from patience times the time to their objective on.
 	callerTimeout = 1500 * time.Millisecond
+	patience      = 3
 	// stretch and allowance define the latency objective; see work.Job.
 	stretch   = 1.6
 	allowance = 60 * time.Millisecond
@@ -110,6 +112,9 @@
 	}
 	c.objective = w.now.Add(time.Duration(stretch*float64(longest)) + allowance)
 	c.deadline = w.now.Add(callerTimeout)
+	if w.day.PatientCallers {
+		c.deadline = c.deadline.Add(patience * c.objective.Sub(w.now))
+	}
 	w.callers[c.id] = c
 	w.verifier.jobSubmitted(c)
 	c.send()
@@ -157,7 +162,7 @@
 	}
 	ticket := c.ticket
 	w.after(callerDelay, func() {
-		job.Arrived, job.Deadline = w.now, w.now.Add(callerTimeout-2*callerDelay)
+		job.Arrived, job.Deadline = w.now, w.now.Add(c.deadline.Sub(c.arrivedAt)-2*callerDelay)
 		if e.incarnation == c.entryIncarnation {
 			e.deliver(scheduler.Submitted{Job: job, Ticket: ticket})
 		}
--- a/rehearser/day.go
+++ b/rehearser/day.go
@@ -92,8 +92,10 @@
 	// LeavingCallerShare is the fraction of callers that leave before their
 	// deadline.
 	LeavingCallerShare float64
-	Burst              Burst
-	Faults             []Fault
+	// PatientCallers makes callers of long jobs wait longer.
+	PatientCallers bool
+	Burst          Burst
+	Faults         []Fault
 	// Policy selects how entries place tasks.
 	Policy Policy
 	// IgnoreLeaseExpiry injects a fault: minions continue runs after their
--- a/rehearser/fuzz_test.go
+++ b/rehearser/fuzz_test.go
@@ -53,6 +53,7 @@
 			Cold:     time.Duration(rapid.SampledFrom([]int{0, 1500}).Draw(t, "cold")) * time.Millisecond,
 		})
 	}
+	day.PatientCallers = rapid.Bool().Draw(t, "patient")
 	return day
 }
 
--- a/rehearser/rehearser_test.go
+++ b/rehearser/rehearser_test.go
@@ -84,6 +84,25 @@
 	}
 }
 
+// A caller who waits for a long job gets its answer: on a day with room, none is
+// given up.
+func TestPatientCallersOfLongJobsAreServed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	for seed := range uint64(3) {
+		day := deskDay(seed)
+		day.Length, day.PatientCallers = 5*time.Second, true
+		for i := range day.Routes {
+			day.Routes[i].JobsPerSecond *= 0.6
+		}
+		day.Routes[1].Work, day.Routes[1].JobsPerSecond = 3*time.Second, 1
+		result := rehearser.Play(day)
+		is.Equal(result.Violations, nil)
+		is.Equal(result.Refused+result.Unfinished, 0)
+		is.Equal(result.OnTime+result.Late, result.Jobs)
+	}
+}
+
 // Agents that know a few of many entries serve callers as well as those that
 // know all, with fewer frames.
 func TestAFewLinksOfEachAgentServeALargeFleet(t *testing.T) {
