subscriber: Ask two entries, not all, while a poll is quiet

Cause: a quiet long poll of the store lasts 800 ms and counted as silence after 400 ms, so each entry asked all 54 others in turn, each over a new connection, in every poll of a healthy store. Change: while the source is silent but has not failed, an entry with a configuration asks at most two others, chosen at random, in each round. After a failed read, and before the first configuration, it asks all as before. The random test of the subscriber also has entries whose polls end without an answer after 1.3 s; all learn of a change within the 2 s that it allows.

--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -202,9 +202,9 @@
 // its peers. The caller must not change them.
 func (e *entryProcess) knownEntries() []netip.AddrPort { return *e.entries.Load() }
 
-// fetchConfiguration asks other entries, in random order, for a configuration or
-// zones that are newer than the known ones.
-func (e *entryProcess) fetchConfiguration(ctx context.Context, known subscriber.Versions) (subscriber.Change, error) {
+// fetchConfiguration asks at most limit other entries, or all if limit is 0, in
+// random order for a configuration or zones that are newer than the known ones.
+func (e *entryProcess) fetchConfiguration(ctx context.Context, known subscriber.Versions, limit int) (subscriber.Change, error) {
 	var peers []netip.AddrPort
 	for _, a := range slices.Concat(e.knownEntries(), *e.seeds.Load()) {
 		if a.Addr() != e.settings.Address && !slices.Contains(peers, a) {
@@ -212,6 +212,9 @@
 		}
 	}
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	if limit > 0 {
+		peers = peers[:min(limit, len(peers))]
+	}
 	return coupler.FetchConfiguration(ctx, e.settings.LinkAddress(e.settings.Address), peers, known)
 }
 
--- a/subscriber/fuzz_test.go
+++ b/subscriber/fuzz_test.go
@@ -26,6 +26,8 @@
 	// at all entries that can reach the store, or another entry that can reach it.
 	// The users require 2 s.
 	maxAdoptionTime = 2 * time.Second
+	// pollTimeout is the time after which a poll without an answer fails.
+	pollTimeout = 1300 * time.Millisecond
 )
 
 // TestMain sets default values of the seed and the number of checks, which
@@ -60,6 +62,8 @@
 	// staleVersion is an older version that all reads return; 0 for the newest.
 	staleVersion int64
 	cutOff       [entryCount]bool
+	// silent entries get no answer of the store, in place of an error at once.
+	silent       [entryCount]bool
 	unresponsive [entryCount]bool
 	entries      [entryCount]*subscriber.Subscriber
 }
@@ -83,6 +87,11 @@
 	s.cluster.mu.Lock()
 	defer s.cluster.mu.Unlock()
 	if s.cluster.cutOff[s.entry] {
+		if s.cluster.silent[s.entry] {
+			s.cluster.mu.Unlock()
+			time.Sleep(pollTimeout)
+			s.cluster.mu.Lock()
+		}
 		return subscriber.Change{}, errors.New("away")
 	}
 	if s.cluster.staleVersion > 0 {
@@ -91,13 +100,20 @@
 	return changeAt(s.cluster.version), nil
 }
 
-func (s entrySource) ask(_ context.Context, known subscriber.Versions) (subscriber.Change, error) {
+func (s entrySource) ask(_ context.Context, known subscriber.Versions, limit int) (subscriber.Change, error) {
 	time.Sleep(3 * time.Millisecond)
+	asked := 0
 	for i := range entryCount {
 		s.cluster.mu.Lock()
 		other, unreachable := s.cluster.entries[i], s.cluster.unresponsive[i] || s.cluster.unresponsive[s.entry]
 		s.cluster.mu.Unlock()
-		if i == s.entry || unreachable {
+		if i == s.entry {
+			continue
+		}
+		if asked++; limit > 0 && asked > limit {
+			break
+		}
+		if unreachable {
 			continue
 		}
 		if d, z := other.Document(), other.Zones(); d.Version > known.Document || z.Version > known.Zones {
@@ -117,7 +133,9 @@
 			c.version++ // compile rejects 13, but the store accepts only valid versions.
 		}
 	case "cut":
-		c.cutOff[e.entry] = true
+		c.cutOff[e.entry], c.silent[e.entry] = true, false
+	case "silence":
+		c.cutOff[e.entry], c.silent[e.entry] = true, true
 	case "cut-all":
 		c.cutOff = [entryCount]bool{true, true, true, true}
 	case "heal":
@@ -157,7 +175,7 @@
 		for range rapid.IntRange(1, 20).Draw(rt, "acts") {
 			events = append(events, event{
 				delay: time.Duration(rapid.IntRange(1, 1500).Draw(rt, "after")) * time.Millisecond,
-				kind:  rapid.SampledFrom([]string{"write", "write", "cut", "cut-all", "heal", "mute", "stale"}).Draw(rt, "kind"),
+				kind:  rapid.SampledFrom([]string{"write", "write", "cut", "silence", "cut-all", "heal", "mute", "stale"}).Draw(rt, "kind"),
 				entry: rapid.IntRange(0, entryCount-1).Draw(rt, "entry"),
 			})
 		}
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -28,6 +28,10 @@
 	peerInterval = 400 * time.Millisecond
 	// peerTimeout is the timeout of one round of requests to other entries.
 	peerTimeout = 400 * time.Millisecond
+	// quietPeerLimit is the number of entries that are asked in one round while the
+	// source is silent but has not failed, as in each quiet poll of a healthy store.
+	// Each request opens a connection.
+	quietPeerLimit = 2
 )
 
 // Document is a configuration as the operator wrote it.
@@ -73,9 +77,10 @@
 	Source Source
 	// Compile validates a document and compiles it.
 	Compile func(Document) (Configuration, error)
-	// FetchNewer requests what is newer than the known versions from other entries.
-	// It may return the empty change; a nil FetchNewer disables these requests.
-	FetchNewer func(ctx context.Context, known Versions) (Change, error)
+	// FetchNewer requests what is newer than the known versions from at most limit
+	// other entries, or from all if limit is 0. It may return the empty change; a nil
+	// FetchNewer disables these requests.
+	FetchNewer func(ctx context.Context, known Versions, limit int) (Change, error)
 	// ZonesChanged is called with each newer decision on evacuated zones, in order
 	// and before a configuration that came with it is in force. It may be nil, and
 	// must not call the subscriber.
@@ -99,8 +104,10 @@
 	goroutines sync.WaitGroup
 
 	mu sync.Mutex
-	// lastSuccess is the time of the last successful read of the source.
+	// lastSuccess is the time of the last successful read of the source, and failing
+	// is true if a read has failed since.
 	lastSuccess time.Time
+	failing     bool
 	// zonesMu is held while zones is replaced and ZonesChanged called.
 	zonesMu sync.Mutex
 
@@ -163,7 +170,6 @@
 
 // followSource adopts the changes of the source until ctx ends.
 func (s *Subscriber) followSource(ctx context.Context) {
-	failing := false
 	for ctx.Err() == nil {
 		change, err := s.options.Source.Next(ctx)
 		if ctx.Err() != nil {
@@ -171,36 +177,49 @@
 		}
 		if err != nil {
 			s.failed.Inc(1)
-			if !failing {
+			if !s.setFailing(true) {
 				s.options.Log.Warn("subscriber: Can't read the configuration from the store", "error", err)
 			}
-			failing = true
 			sleep(ctx, retryDelay)
 			continue
 		}
-		if failing {
+		if s.setFailing(false) {
 			s.options.Log.Info("subscriber: The store answers again")
 		}
-		failing = false
-		s.mu.Lock()
-		s.lastSuccess = time.Now()
-		s.mu.Unlock()
 		s.adopt(change, "store")
 	}
 }
 
-// followPeers adopts changes from other entries while the source fails.
+// setFailing records whether the last read of the source failed, and returns
+// whether the one before did.
+func (s *Subscriber) setFailing(failing bool) (before bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before, s.failing = s.failing, failing
+	if !failing {
+		s.lastSuccess = time.Now()
+	}
+	return before
+}
+
+// followPeers adopts changes from other entries while the source fails or is
+// silent.
 func (s *Subscriber) followPeers(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, peerInterval)
 		s.mu.Lock()
-		outage := time.Since(s.lastSuccess)
+		outage, failing := time.Since(s.lastSuccess), s.failing
 		s.mu.Unlock()
 		if outage < peerInterval || s.options.FetchNewer == nil {
 			continue
 		}
+		known := Versions{Document: s.Document().Version, Zones: s.Zones().Version}
+		limit := 0
+		if !failing && known.Document > 0 {
+			limit = quietPeerLimit
+		}
 		peerContext, cancel := context.WithTimeout(ctx, peerTimeout)
-		change, err := s.options.FetchNewer(peerContext, Versions{Document: s.Document().Version, Zones: s.Zones().Version})
+		change, err := s.options.FetchNewer(peerContext, known, limit)
 		cancel()
 		if err != nil {
 			s.options.Log.Debug("subscriber: No other entry answered", "error", err)
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -60,7 +60,7 @@
 }
 
 // start starts a subscriber of a source; ask may be nil.
-func start(s *fakeSource, ask func(context.Context, subscriber.Versions) (subscriber.Change, error)) *subscriber.Subscriber {
+func start(s subscriber.Source, ask func(context.Context, subscriber.Versions, int) (subscriber.Change, error)) *subscriber.Subscriber {
 	return subscriber.New(subscriber.Options{
 		Source: s, Compile: compile, FetchNewer: ask, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
 	})
@@ -106,7 +106,7 @@
 		is := is.New(t)
 		store := &fakeSource{version: 7, zones: work.Zones{Version: 1}}
 		asked := 0
-		s := start(store, func(_ context.Context, known subscriber.Versions) (subscriber.Change, error) {
+		s := start(store, func(_ context.Context, known subscriber.Versions, _ int) (subscriber.Change, error) {
 			asked++
 			return subscriber.Change{Document: subscriber.Document{Version: known.Document + 1}}, nil
 		})
@@ -119,6 +119,56 @@
 	})
 }
 
+// pollSource is a store whose polls last 800 ms, as without changes, or fail after
+// 1300 ms while it is silent.
+type pollSource struct{ silent atomic.Bool }
+
+// Next implements subscriber.Source.
+func (s *pollSource) Next(context.Context) (subscriber.Change, error) {
+	time.Sleep(800 * time.Millisecond)
+	if s.silent.Load() {
+		time.Sleep(500 * time.Millisecond)
+		return subscriber.Change{}, errors.New("no answer")
+	}
+	return subscriber.Change{Document: subscriber.Document{Version: 7}, Zones: work.Zones{Version: 1}}, nil
+}
+
+// A quiet poll made each entry ask all others, so that the connections between
+// entries grew with the square of their number.
+func TestFewEntriesAreAskedDuringAQuietPoll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := new(pollSource)
+		var askedFew, askedAll atomic.Int32
+		s := start(store, func(_ context.Context, _ subscriber.Versions, limit int) (subscriber.Change, error) {
+			switch limit {
+			case 0:
+				askedAll.Add(1)
+			case 2:
+				askedFew.Add(1)
+			default:
+				t.Errorf("at most %d entries were asked", limit)
+			}
+			return subscriber.Change{}, errors.New("no newer version")
+		})
+		defer s.Close()
+		// Nothing is in force before the first poll ends, so all are asked.
+		time.Sleep(850 * time.Millisecond)
+		is.Equal(askedFew.Swap(0), int32(0))
+		is.True(askedAll.Swap(0) > 0)
+		time.Sleep(4 * time.Second)
+		is.True(askedFew.Load() > 0)
+		is.Equal(askedAll.Load(), int32(0))
+		store.silent.Store(true)
+		time.Sleep(2200 * time.Millisecond) // At least one poll has failed.
+		askedFew.Store(0)
+		askedAll.Store(0)
+		time.Sleep(2 * time.Second)
+		is.Equal(askedFew.Load(), int32(0))
+		is.True(askedAll.Load() >= 4)
+	})
+}
+
 // An entry that starts during an outage gets both from another entry, and has no
 // configuration before it knows the zones.
 func TestOtherEntriesSupplyZonesWithTheConfiguration(t *testing.T) {
@@ -127,7 +177,7 @@
 		evacuated := work.Zones{Version: 8, Evacuated: []string{"b"}}
 		document := subscriber.Document{Version: 7}
 		var asked atomic.Int32
-		s := start(&fakeSource{unavailable: true}, func(_ context.Context, known subscriber.Versions) (subscriber.Change, error) {
+		s := start(&fakeSource{unavailable: true}, func(_ context.Context, known subscriber.Versions, _ int) (subscriber.Change, error) {
 			if asked.Add(1) == 1 {
 				return subscriber.Change{Document: document}, nil
 			}
