dialer: Send each message of a stream in one piece

Cause: the RPC library writes the five bytes of prefix and the content of a message one after the other into the request's pipe, and the HTTP/2 transport sends and flushes each at once. So each report of an agent was two packets, two writes at the agent and twice the reads at the entry. Change: the client reads the prefix of a message together with its content. A body that is not a stream of messages passes unchanged.

--- a/dialer/client.go
+++ b/dialer/client.go
@@ -69,7 +69,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	c.Client = &http.Client{
-		Transport: &http.Transport{
+		Transport: messageTransport{&http.Transport{
 			DialContext: c.dial,
 			Protocols:   protocols,
 			HTTP2: &http.HTTP2Config{
@@ -77,7 +77,7 @@
 				PingTimeout:      o.PongTimeout,
 				WriteByteTimeout: o.PongTimeout + o.PingAfter,
 			},
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return c
