listener: Buffer what entries read from links

Cause: the HTTP/2 server reads the header and the content of each frame with a call each. Change: connections of the links' listener have a read buffer of 4 KB.

--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -110,7 +110,7 @@
 	if s.LinkListenAddress.IsValid() {
 		linkAddress = s.LinkListenAddress
 	}
-	if _, err := e.serve("links", linkAddress, links); err != nil {
+	if _, err := e.serve("links", linkAddress, links, (*listener.Listener).BufferReads); err != nil {
 		return err
 	}
 	if _, err := e.serve("readiness", s.ReadinessAddress, platform.NewReadinessHandler(e.ready)); err != nil {
