ring: Keep no token for an empty ring

Cause: a reader that waits gets the token of an item directly, so an item added before it has taken both leaves a second token for an empty ring. An agent adds a report and its load one after the other, and the link then sent an empty frame after each pair. The comment on the token already said that there is none without items. Change: taking the last item removes the token, unless the ring is closed. The model test of the ring checks the token after each step, which fails without the change.

--- a/common/ring/ring.go
+++ b/common/ring/ring.go
@@ -105,6 +105,9 @@
 	}
 	if r.count > 0 || r.closed {
 		signal(r.ready)
+	} else {
+		// The token of an item that was added after the taker had received one.
+		unsignal(r.ready)
 	}
 	signal(r.space)
 	return buf, true
@@ -147,6 +150,14 @@
 	}
 }
 
+// unsignal removes the token of a channel if it holds one.
+func unsignal(c chan struct{}) {
+	select {
+	case <-c:
+	default:
+	}
+}
+
 // signal adds a token to a channel unless it holds one.
 func signal(c chan struct{}) {
 	select {
--- a/common/ring/ring_test.go
+++ b/common/ring/ring_test.go
@@ -36,6 +36,9 @@
 				if r.Len() != len(model) {
 					t.Fatalf("Len returned %d, want %d", r.Len(), len(model))
 				}
+				if ready := len(r.Ready()) > 0; ready != (len(model) > 0) {
+					t.Fatalf("ready is %t with %d items", ready, len(model))
+				}
 			},
 			"offer": func(t *rapid.T) {
 				for range rapid.IntRange(1, 2*size).Draw(t, "items") {
@@ -69,6 +72,25 @@
 	})
 }
 
+// An item that is added between the token of another and its removal left a token
+// for an empty ring, for which links sent empty frames.
+func TestTakingTheLastItemRemovesTheToken(t *testing.T) {
+	is := is.New(t)
+	r := ring.New[int](8)
+	is.True(r.Offer(1))
+	<-r.Ready()
+	is.True(r.Offer(2))
+	items, open := r.TakeAll(nil)
+	is.True(open)
+	is.Equal(items, []int{1, 2})
+	is.Equal(len(r.Ready()), 0)
+	is.True(r.Offer(3))
+	is.Equal(len(r.Ready()), 1)
+	r.Close()
+	_, _ = r.TakeAll(nil)
+	is.Equal(len(r.Ready()), 1) // Those that wait learn that the ring is closed.
+}
+
 func TestPutWaitsForSpace(t *testing.T) {
 	is := is.New(t)
 	const items = 1000
