supervisor: Ask the minion before the runs of an expired lease count as lost

Cause: an agent that was frozen, or cut off from its minion, computed on its own clock that the lease had expired, and reported the runs as lost. A renewal without an answer had meanwhile extended the lease, so the runs went on beside those that replaced them. The class: a state of the other side that is computed, where it can be asked. Change: it requests a list first, and reports the runs as lost when the list shows so, or after 100 ms without an answer. A minion that stays silent for longer is not covered: nobody can ask it.

--- a/supervisor/core.go
+++ b/supervisor/core.go
@@ -227,7 +227,7 @@
 		delete(c.endedAt, c.endOrder[0])
 		c.endOrder = c.endOrder[1:]
 	}
-	if c.minion.leaseExpired(now) {
+	if c.minion.hasLapsed(now) {
 		c.minion.lapsedRuns = append(c.minion.lapsedRuns, c.runsAtRisk(now, c.silentSince(now))...)
 		c.loseRuns(now, "the lease has lapsed")
 	}
--- a/supervisor/minion.go
+++ b/supervisor/minion.go
@@ -14,6 +14,10 @@
 // read in whole milliseconds.
 const leaseMargin = 5 * time.Millisecond
 
+// lapseCheckTimeout is the time for which the runs of an expired lease are kept
+// until the minion answers a request for lists.
+const lapseCheckTimeout = 100 * time.Millisecond
+
 // minionState is what the agent knows of one incarnation of its minion. Nothing of
 // it holds for another one, which counts its descriptions and ends from 1 and has
 // its own clock.
@@ -36,6 +40,9 @@
 	// leaseExpiry is the latest lease expiry, on the minion's clock, that the
 	// minion may have received.
 	leaseExpiry time.Duration
+	// lapsedAt is the time at which the lease was found to have expired; zero while
+	// it has not.
+	lapsedAt time.Time
 	// ackedEnd is the number of the newest end that the agent has processed.
 	ackedEnd uint64
 	// reconciled is true once a list has shown that the minion runs nothing
@@ -92,12 +99,25 @@
 	return m.clock + elapsed - time.Duration(maxClockDrift*float64(elapsed))
 }
 
-// leaseExpired reports whether the lease has certainly expired, in which case
-// the minion has killed all its runs.
+// leaseExpired reports whether the lease has expired by the minion's clock.
 func (m *minionState) leaseExpired(at time.Time) bool {
 	return m.reconciled && m.leaseExpiry > 0 && m.minClock(at) > m.leaseExpiry+leaseMargin
 }
 
+// hasLapsed reports whether the lease has expired and the minion has not shown
+// since that it still runs something. An unanswered renewal may have been carried
+// out late, so a list is requested first; see needsNewerList.
+func (m *minionState) hasLapsed(at time.Time) bool {
+	if !m.leaseExpired(at) {
+		m.lapsedAt = time.Time{}
+		return false
+	}
+	if m.lapsedAt.IsZero() {
+		m.lapsedAt = at
+	}
+	return at.Sub(m.lapsedAt) > lapseCheckTimeout
+}
+
 // extendLease returns the expiry of a lease that begins now, on the minion's
 // clock. It records the lease as granted, since an order may arrive even if it
 // is never answered.
--- a/supervisor/scheduling.go
+++ b/supervisor/scheduling.go
@@ -163,7 +163,7 @@
 // have survived its probation, or the minion has not answered a raised fencing
 // token. Only a list requested afterwards shows it.
 func (c *Core) needsNewerList(now time.Time) bool {
-	if c.fencing.raises > 0 {
+	if c.fencing.raises > 0 || !c.minion.lapsedAt.IsZero() {
 		return true
 	}
 	for _, r := range c.sortedRuns {
