scheduler: Take a run that its agent has forgotten for started

Callers saw: nothing yet; found by the review of the longer deadlines (REFUSED). A job whose task had run could be answered as not run, when its entry came back after more than 5 s. Cause: a run that a new link doesn't list counted as an order that never arrived. An agent forgets the end of a run after 5 s; by then the deadline of 1.5 s had always ended the job. Change: only a run that its agent had not told of, and that was placed in the last 4 s, counts as never arrived. Others are lost: their job is not "not run".

--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -7,6 +7,10 @@
 	"agatevalve/common/work"
 )
 
+// endRetention is the time for which an agent surely keeps the end of a run for an
+// entry that is silent. A run that it doesn't hold after that may have started.
+const endRetention = 4 * time.Second
+
 // agent is the state of one incarnation of an agent and of its minion, as known
 // to this entry.
 type agent struct {
@@ -130,10 +134,14 @@
 	}
 	a.ordersSent, a.pendingOrders, a.ackSent = 0, nil, 0
 	for _, t := range sortedTasks(a.runs) {
+		report := work.Report{Run: t.run(), State: work.Lost, Reason: "its agent has forgotten it"}
+		if !t.inLoad && now.Sub(t.placedAt) < endRetention {
+			// The order has not arrived and never will, since its link is closed.
+			report = work.Report{Run: t.run(), State: work.Refused, Reason: work.ReasonUnstarted}
+		}
 		a.markInLoad(t)
 		if !held[t.run()] {
-			// The order has not arrived and never will, since its link is closed.
-			c.handleReport(now, a, work.Report{Run: t.run(), State: work.Refused, Reason: work.ReasonUnstarted})
+			c.handleReport(now, a, report)
 		}
 	}
 	for _, run := range sortedRuns(a.stopping) {
