scheduler, jobber: Place nothing right after a pause of the process

An entry that stood still for seconds placed tasks again before it had read that their callers had left; these may have submitted their jobs at another entry. Change: an interval of 350 ms between two steps counts as a pause, after which no task is placed for 50 ms. Not played with processes.

--- a/jobber/jobber.go
+++ b/jobber/jobber.go
@@ -24,6 +24,9 @@
 	// idleStepInterval is the interval between steps without events and without
 	// unanswered jobs.
 	idleStepInterval = 200 * time.Millisecond
+	// pauseThreshold is the interval between two steps above which the process counts
+	// as paused in between.
+	pauseThreshold = 350 * time.Millisecond
 	// refreshInterval is the interval at which unstartedJobs and usableAgents are
 	// updated.
 	refreshInterval = 200 * time.Millisecond
@@ -207,7 +210,7 @@
 	timer := time.NewTimer(idleStepInterval)
 	defer timer.Stop()
 	var events []scheduler.Event
-	var lastRefresh time.Time
+	var lastRefresh, lastStep time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -215,8 +218,13 @@
 		case <-timer.C:
 		case <-j.events.Ready():
 		}
-		events, _ = j.events.TakeAll(events[:0])
 		now := clock.Now()
+		events = events[:0]
+		if !lastStep.IsZero() && now.Sub(lastStep) > pauseThreshold {
+			events = append(events, scheduler.ProcessPaused{})
+		}
+		lastStep = now
+		events, _ = j.events.TakeAll(events)
 		for _, command := range j.core.Step(now, events) {
 			j.execute(command)
 		}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -35,6 +35,9 @@
 	// maxStepInterval is the maximum interval between two steps while jobs are
 	// unanswered. The loss of an agent is noticed this late.
 	maxStepInterval = 50 * time.Millisecond
+	// pauseGrace is the time after a pause of the process for which no task is placed.
+	// In it the process reads that callers have left.
+	pauseGrace = 50 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the Retry-After of a refusal.
 	minRetryAfter = time.Second
 	maxRetryAfter = 10 * time.Second
@@ -65,8 +68,8 @@
 	sortedAgents []*agent
 	// jobs holds the jobs that have not been answered, by id.
 	jobs map[string]*job
-	// deadlines holds the deadlines of jobs, including some that have been
-	// answered or have an earlier one.
+	// deadlines holds the deadlines of jobs, including those of answered ones and
+	// some that were moved.
 	deadlines *heap.Heap[jobDeadline]
 	// stopsAt is the time at which this entry stops; zero while it isn't stopping.
 	// No job has a later deadline.
@@ -81,6 +84,8 @@
 	// lastExpiryCheck is the time of the last check for waiting tasks that can't
 	// end in time.
 	lastExpiryCheck time.Time
+	// placeAfter is the time from which tasks are placed after a pause of the process.
+	placeAfter time.Time
 	// lastPlacement is the time of the last placement pass over the waiting
 	// tasks.
 	lastPlacement time.Time
@@ -112,6 +117,12 @@
 // Command is an instruction that the entry has to carry out.
 type Command interface{ command() }
 
+// ProcessPaused means that the process goes on after it stood still. Callers that
+// left meanwhile may have submitted their jobs at another entry.
+type ProcessPaused struct{}
+
+func (ProcessPaused) apply(c *Core, now time.Time) { c.placeAfter = now.Add(pauseGrace) }
+
 // Place sends an order for one run to an agent.
 type Place struct {
 	Agent AgentID
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -54,7 +54,7 @@
 
 // placeWaiting sends waiting tasks to agents, the most urgent first.
 func (c *Core) placeWaiting(now time.Time) {
-	if len(c.waiting) == 0 || !c.placementDue && now.Sub(c.lastPlacement) < placementInterval {
+	if len(c.waiting) == 0 || now.Before(c.placeAfter) || !c.placementDue && now.Sub(c.lastPlacement) < placementInterval {
 		return
 	}
 	c.placementDue, c.lastPlacement = false, now
