scheduler: Move the deadline of a job with its callers and the stop of its entry

A second caller of a job got the deadline of the first one, 13 s in place of 2 s or the other way round. An entry that stops held jobs that could not end by then until 0.8 s before its end. Change: a job that comes again gets the later deadline. The heap of deadlines holds ids.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -43,10 +43,11 @@
 	unplaceableAt time.Time
 }
 
-// jobDeadline is an element of the heap of deadlines.
+// jobDeadline is an element of the heap of deadlines. It keeps no job in memory
+// that has ended.
 type jobDeadline struct {
 	deadline time.Time
-	job      *job
+	id       string
 }
 
 // setObjective sets the latency objective by the work of the longest task.
@@ -125,6 +126,10 @@
 func (ev Submitted) apply(c *Core, now time.Time) {
 	if j := c.jobs[ev.Job.ID]; j != nil {
 		j.tickets = append(j.tickets, ev.Ticket) // Idempotent: it runs once, all callers are answered.
+		c.boundByStop(&ev.Job)
+		if ev.Job.Deadline.After(j.Deadline) {
+			c.moveDeadline(j, ev.Job.Deadline)
+		}
 		return
 	}
 	if c.answerCondemned(now, ev) {
@@ -146,7 +151,7 @@
 	}
 	c.arrivals.add(now, j.Priority, demandOf(j))
 	c.jobs[j.ID] = j
-	c.deadlines.Push(jobDeadline{deadline: j.Deadline, job: j})
+	c.deadlines.Push(jobDeadline{deadline: j.Deadline, id: j.ID})
 	j.tasks = make([]*task, j.Count)
 	for i := range j.tasks {
 		j.tasks[i] = &task{job: j, index: i, runNumber: c.usedNumbers.highest[j.ID].number}
@@ -251,7 +256,7 @@
 func (c *Core) expireJobs(now time.Time) {
 	var expired []*job
 	for c.deadlines.Len() > 0 && !now.Before(c.deadlines.Top().deadline) {
-		if j := c.deadlines.Pop().job; c.jobs[j.ID] == j {
+		if j := c.jobs[c.deadlines.Pop().id]; j != nil && !now.Before(j.Deadline) && !slices.Contains(expired, j) {
 			expired = append(expired, j)
 		}
 	}
--- a/scheduler/resubmission_test.go
+++ b/scheduler/resubmission_test.go
@@ -68,3 +68,18 @@
 	is.Equal(len(placed), 1)
 	is.True(placed[0].Agent != first[0].Agent)
 }
+
+func TestSecondCallerOfAJobMovesItsDeadline(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(1)
+	b.advance(time.Second)
+	first := b.submission("a", 1)
+	b.step(first)
+	second := b.patientSubmission("a", 200*time.Millisecond)
+	second.Ticket = 8
+	b.step(second)
+	is.Equal(len(commandsOf[scheduler.Answer](b.advance(2*time.Second))), 0)
+	answers := commandsOf[scheduler.Answer](b.advance(18 * time.Second))
+	is.Equal(len(answers), 1)
+	is.Equal(answers[0].Tickets, []uint64{7, 8})
+}
--- a/scheduler/stopping.go
+++ b/scheduler/stopping.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"agatevalve/common/work"
@@ -14,18 +16,33 @@
 // so that they can submit it at another entry.
 type EntryStopping struct{ At time.Time }
 
-func (ev EntryStopping) apply(c *Core, _ time.Time) {
+func (ev EntryStopping) apply(c *Core, now time.Time) {
 	c.stopsAt = ev.At
-	for _, j := range c.jobs {
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		j := c.jobs[id]
 		if !j.Deadline.After(ev.At) {
 			continue
 		}
-		c.boundByStop(&j.Job)
-		j.setObjective(max(j.longestWork, j.expectedWork))
-		c.deadlines.Push(jobDeadline{deadline: j.Deadline, job: j})
+		c.moveDeadline(j, ev.At)
+		if slices.ContainsFunc(j.tasks, func(t *task) bool { return t.outlasts(ev.At) }) {
+			c.giveUp(now, j, reasonStopping)
+		}
 	}
 }
 
+// outlasts reports whether a run under way can't end by a time, even if its work
+// is as short as can be.
+func (t *task) outlasts(at time.Time) bool {
+	return t.agent != nil && t.placedAt.Add(time.Duration(minWorkFactor*float64(t.expectedRuntime))).After(at)
+}
+
+// moveDeadline changes the deadline of a job, and with it the objective.
+func (c *Core) moveDeadline(j *job, deadline time.Time) {
+	j.Deadline = deadline
+	j.setObjective(max(j.longestWork, j.expectedWork))
+	c.deadlines.Push(jobDeadline{deadline: deadline, id: j.ID})
+}
+
 // boundByStop moves the deadline of a job to the time at which this entry stops,
 // if that comes first.
 func (c *Core) boundByStop(j *work.Job) {
