listener, launcher: Notice callers that can't be reached any more

Cause: the first entry learns that a caller has left only by the end of its connection, which the cut holds back. Change: connections of callers are probed each second, and one without an answer ends them. So a caller that can't be reached for 2 s counts as gone.

--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"runtime"
@@ -30,6 +31,11 @@
 // not ready. It needs two readiness probes, which it sends once per second.
 const balancerDelay = 2300 * time.Millisecond
 
+// callerKeepAlive makes a caller that can't be reached for 2 s count as gone, before
+// a long job outlives by much that its caller has submitted it at another entry.
+// Shorter times than a second can't be set.
+var callerKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 1}
+
 // answerReserve is the time before the end of a graceful stop by which all callers
 // have been answered. It covers the interval of up to 500 ms at which http.Server
 // checks whether connections are still in use.
@@ -133,7 +139,10 @@
 		}),
 		Configuration: e.subscriber.Configuration, Leaving: e.leaving.Load, Log: e.log,
 	})
-	callers, err := e.serve("callers", s.CallersAddress, screen.Handler(jobHandler), func(l *listener.Listener) { l.SetConnContext(screen.ConnContext) })
+	callers, err := e.serve("callers", s.CallersAddress, screen.Handler(jobHandler), func(l *listener.Listener) {
+		l.SetConnContext(screen.ConnContext)
+		l.SetKeepAlive(callerKeepAlive)
+	})
 	e.callerListener = callers
 	if err != nil {
 		return err
