coupler: Keep probing links often while long tasks run

Callers saw: nothing yet; found by the review of the longer deadlines. After 8 s without an order, a stop or a report a link was idle and probed each 600 ms, while an agent stops the runs of an entry that it hasn't heard for 800 ms: one late frame would have stopped a task of more than 8 s. Change: a link is idle after a minute.

--- a/coupler/coupler.go
+++ b/coupler/coupler.go
@@ -18,9 +18,10 @@
 	activeProbeInterval = 200 * time.Millisecond
 	// idleProbeInterval is the same for idle links.
 	idleProbeInterval = 600 * time.Millisecond
-	// idleThreshold is the time without work after which a link is idle. It is
-	// above the longest deadline of sub-second tasks.
-	idleThreshold = 8 * time.Second
+	// idleThreshold is the time without work after which a link is idle. It exceeds
+	// the time for which callers wait for long tasks, whose links carry nothing else
+	// meanwhile.
+	idleThreshold = time.Minute
 	// maxMissedProbes is the number of missed probes after which a link is closed.
 	maxMissedProbes = 3
 	// sendQueueSize is the maximum number of commands queued for one link.
