subscriber: Ask all entries once a poll is overdue

Callers saw: nothing yet; found by the review. In a large fleet of which half is silently cut off from the store, two entries asked at a time may all be cut off, until the poll fails after 1.3 s. Change: all are asked from 1 s on; a healthy store answers a quiet poll after 800 ms. Measured: the tests of the package.

--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -28,6 +28,9 @@
 	peerInterval = 400 * time.Millisecond
 	// peerTimeout is the timeout of one round of requests to other entries.
 	peerTimeout = 400 * time.Millisecond
+	// maxQuietPoll exceeds the time for which a healthy store lets a poll wait. After
+	// it all entries are asked.
+	maxQuietPoll = time.Second
 	// quietPeerLimit is the number of entries that are asked in one round while the
 	// source is silent but has not failed, as in each quiet poll of a healthy store.
 	// Each request opens a connection.
@@ -215,7 +218,7 @@
 		}
 		known := Versions{Document: s.Document().Version, Zones: s.Zones().Version}
 		limit := 0
-		if !failing && known.Document > 0 {
+		if !failing && known.Document > 0 && outage < maxQuietPoll {
 			limit = quietPeerLimit
 		}
 		peerContext, cancel := context.WithTimeout(ctx, peerTimeout)
