relayer: Prefer a result over the stop of the entry

Callers saw: nothing yet; found by the review. With a result and the stop at the same time, a job that had ended might be answered as unfinished. Measured: the tests of the package.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -52,6 +52,16 @@
 	Withdraw(peer netip.AddrPort, id string)
 }
 
+// hasResult reports whether result and taken are set.
+func (j *relayedJob) hasResult() bool {
+	select {
+	case <-j.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Options are the dependencies of a Relayer.
 type Options struct {
 	Jobs    Jobs
@@ -137,8 +147,10 @@
 		r.leave(job.ID, j, false)
 		return jobber.Result{Outcome: work.Unfinished, Reason: "the caller has left"}
 	case <-r.stopped:
-		r.leave(job.ID, j, false)
-		return jobber.Result{Outcome: work.Unfinished, Reason: "this entry is stopping"}
+		if !j.hasResult() {
+			r.leave(job.ID, j, false)
+			return jobber.Result{Outcome: work.Unfinished, Reason: "this entry is stopping"}
+		}
 	}
 	r.leave(job.ID, j, !j.taken)
 	if !j.taken {
@@ -282,9 +294,7 @@
 	if r.relayed[id] == j {
 		delete(r.relayed, id)
 	}
-	select {
-	case <-j.done:
-	default:
+	if !j.hasResult() {
 		r.options.Carrier.Withdraw(j.peer, id)
 	}
 }
