--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -183,10 +183,7 @@
 		reply = imitator.Submit(submitCtx, client, e.callersAddress(), prefix, job.Job, job.answerTimeout)
 		cancelSubmit()
 		disconnected := ctx.Err() != nil
-		resubmit := !disconnected && n < maxSubmissions && (!reply.Complete || reply.Outcome == work.Unfinished)
-		if job.answerTimeout > answerTimeout && time.Since(firstSent) > job.answerTimeout {
-			resubmit = false
-		}
+		resubmit := !disconnected && n < maxSubmissions && job.isWorthResubmitting(reply, time.Since(firstSent))
 		h.checker.jobAnswered(job, reply.Outcome, !resubmit)
 		if elapsed := time.Since(sent); !reply.Complete && !disconnected && elapsed < min(patience, job.answerTimeout/2) {
 			h.checkConnectionLoss(job, e, incarnation, sent, elapsed)
@@ -199,6 +196,15 @@
 	return reply.Outcome
 }
 
+// isWorthResubmitting reports whether the caller submits the job again after a
+// reply. Callers of long jobs do so only while they would have waited.
+func (j *jobRecord) isWorthResubmitting(reply imitator.Reply, waited time.Duration) bool {
+	if j.answerTimeout > answerTimeout && waited > j.answerTimeout {
+		return false
+	}
+	return !reply.Complete || reply.Outcome == work.Unfinished
+}
+
 // checkConnectionLoss reports the end of a connection without an answer, unless it
 // came early or the entry was disturbed or restarted.
 func (h *harness) checkConnectionLoss(job *jobRecord, e *entry, incarnation int, sent time.Time, elapsed time.Duration) {
