supervisor: Log a minion that refused connections but had not crashed

The log had "The minion is down" for each refused renewal, and nothing told whether the minion had crashed (another incarnation follows) or the same one answered again, with its runs still there. Now the first answer of the same incarnation after a refusal is logged with the duration of the refusals and the number of runs that it lists.

TestMinionThatAnswersAfterARefusalIsLogged: no such line before.

--- a/supervisor/answers.go
+++ b/supervisor/answers.go
@@ -114,6 +114,7 @@
 	}
 	m.observeClock(now, ev.Clock)
 	c.fencing.answered(ev.FencingToken)
+	c.observeAnswer(now, len(ev.Running))
 	m.lastAnswerAt, m.failedRenewals, m.failingSince, m.lapsedRuns = now, 0, time.Time{}, nil
 	for _, e := range ev.Ended {
 		c.handleEnd(now, e)
@@ -128,6 +129,19 @@
 	}
 }
 
+// observeAnswer notes that the minion has answered with so many runs. If it refused
+// connections before, it had not crashed.
+func (c *Core) observeAnswer(now time.Time, running int) {
+	m := &c.minion
+	if m.refusingSince.IsZero() {
+		return
+	}
+	c.emit(LogMessage{
+		Text: "The minion refused connections but had not crashed", Reason: "refused for " + now.Sub(m.refusingSince).String(), Count: running, Minion: m.Minion,
+	})
+	m.refusingSince = time.Time{}
+}
+
 // awaitDescription switches to the incarnation of a list, which has not described
 // itself yet. It gets no runs until then, since it may be of another kind or draining.
 func (c *Core) awaitDescription(now time.Time, list RunsListed) {
@@ -249,6 +263,9 @@
 // queued ones. No run is accepted until the minion answers again.
 func (ev MinionDown) apply(c *Core, now time.Time) {
 	RenewalFailed(ev).apply(c, now)
+	if c.minion.refusingSince.IsZero() {
+		c.minion.refusingSince = now
+	}
 	wasReconciled := c.minion.reconciled
 	c.loseRunsInCrash(now)
 	c.minion.reconciled = false
--- a/supervisor/crashes_test.go
+++ b/supervisor/crashes_test.go
@@ -163,3 +163,16 @@
 		is.True(r.Run == run("before") && r.Age == 2*time.Millisecond || r.Run == run("confirmed") && r.Age > 500*time.Millisecond)
 	}
 }
+
+// Guards against logs that don't tell a refused connection from a crash.
+func TestMinionThatAnswersAfterARefusalIsLogged(t *testing.T) {
+	is := is.New(t)
+	b := newRunningBench()
+	b.step(supervisor.MinionDown{})
+	b.advance(20 * time.Millisecond)
+	logged := find[supervisor.LogMessage](b.list([]supervisor.ListedRun{{Run: run("a")}}, nil))
+	is.Equal(len(logged), 1)
+	is.Equal(logged[0].Text, "The minion refused connections but had not crashed")
+	is.Equal(logged[0].Count, 1) // The run that was given up goes on.
+	is.Equal(len(find[supervisor.LogMessage](b.list(nil, nil))), 0)
+}
--- a/supervisor/minion.go
+++ b/supervisor/minion.go
@@ -59,6 +59,9 @@
 	// lapsedRuns are the runs that were lost because the lease lapsed while the
 	// minion was silent. If another incarnation follows, the minion had crashed.
 	lapsedRuns []work.CrashedRun
+	// refusingSince is the time of the first renewal that was refused since the
+	// minion last answered; zero without any.
+	refusingSince time.Time
 	// departed is true once the minion has announced its shutdown.
 	departed bool
 	// nextRenewalAt delays the next renewal after a failed one.
