soaker: Refuse the connections of a minion that runs on

Missing: users saw two runs of one task at once, the second ones all at one minion, after entries had given up runs as lost in a crash. In the soak nothing ever refused a connection: the port of a crashed minion accepts and resets, and no fault leaves a port without a listener while the runs go on. Change: a proxy can close its listener, reset its connections and listen again; refusals that overlap end with the last of them. A connection that waits in the proxy meanwhile is reset too.

--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -229,6 +229,4 @@
 }
 
 // callersAddress returns the address of the entry's proxy for callers.
-func (e *entry) callersAddress() netip.AddrPort {
-	return netip.MustParseAddrPort(e.proxy.listener.Addr().String())
-}
+func (e *entry) callersAddress() netip.AddrPort { return e.proxy.address }
--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -21,9 +21,9 @@
 
 // proxy forwards TCP connections to one address and injects network faults.
 type proxy struct {
-	// target is the address to which connections are forwarded.
-	target   netip.AddrPort
-	listener net.Listener
+	// address is where the proxy listens, and target the address to which connections
+	// are forwarded.
+	address, target netip.AddrPort
 	// delay is a delay in nanoseconds before each write, in both directions.
 	delay atomic.Int64
 	// blocked holds back all data in both directions, as a network partition does.
@@ -31,7 +31,13 @@
 	blocked, heldFromClient, heldFromServer atomic.Bool
 
 	mu          sync.Mutex
+	listener    net.Listener
 	connections map[*connection]bool
+	// refusals counts the calls of refuse, and returns those of listenAgain. There is
+	// no listener while they differ.
+	refusals, returns int
+	// closed prevents a further listener.
+	closed bool
 }
 
 // connection is a connection through a proxy.
@@ -44,20 +50,29 @@
 
 // newProxy returns a proxy that listens at an address.
 func newProxy(address, target netip.AddrPort) (*proxy, error) {
-	var config net.ListenConfig
-	listener, err := config.Listen(context.Background(), "tcp", address.String())
-	if err != nil {
+	p := &proxy{address: address, target: target, connections: make(map[*connection]bool)}
+	if err := p.listen(); err != nil {
 		return nil, err
 	}
-	p := &proxy{target: target, listener: listener, connections: make(map[*connection]bool)}
-	go p.accept()
 	return p, nil
 }
 
+// listen opens the listener. The lock is held, or nobody else has the proxy yet.
+func (p *proxy) listen() error {
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", p.address.String())
+	if err != nil {
+		return err
+	}
+	p.listener = listener
+	go p.accept(listener)
+	return nil
+}
+
 // accept accepts connections until the listener is closed.
-func (p *proxy) accept() {
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -67,6 +82,9 @@
 
 // connect connects a client to the target, and forwards until either closes.
 func (p *proxy) connect(client net.Conn) {
+	p.mu.Lock()
+	refusals := p.refusals
+	p.mu.Unlock()
 	wasHeld := false
 	for p.blocked.Load() || p.heldFromClient.Load() || p.heldFromServer.Load() {
 		wasHeld = true
@@ -86,14 +104,24 @@
 		abort(client) // As if nothing listened at the port.
 		return
 	}
+	c := &connection{client: client, server: server}
+	p.mu.Lock()
+	refused := p.refusals != refusals || p.refusals != p.returns
+	if !refused {
+		p.connections[c] = true
+	}
+	p.mu.Unlock()
+	if refused { // It was not open yet when refuse reset the others.
+		abort(client)
+		abort(server)
+		return
+	}
 	if _, err := server.Write(sent); err != nil {
+		p.remove(c)
 		abort(client)
+		abort(server)
 		return
 	}
-	c := &connection{client: client, server: server}
-	p.mu.Lock()
-	p.connections[c] = true
-	p.mu.Unlock()
 	go p.forward(c, server, client, &c.dropFromClient, &p.heldFromClient)
 	p.forward(c, client, server, &c.dropFromServer, &p.heldFromServer)
 }
@@ -138,13 +166,18 @@
 			break
 		}
 	}
-	p.mu.Lock()
-	delete(p.connections, c)
-	p.mu.Unlock()
+	p.remove(c)
 	_ = c.client.Close() // Both ends may be closed already.
 	_ = c.server.Close()
 }
 
+// remove forgets a connection that ends.
+func (p *proxy) remove(c *connection) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.connections, c)
+}
+
 // forEach calls do for each open connection.
 func (p *proxy) forEach(do func(*connection)) {
 	p.mu.Lock()
@@ -171,9 +204,33 @@
 	})
 }
 
+// refuse closes the listener, so that new connections are refused, and resets all
+// open connections. The target goes on.
+func (p *proxy) refuse() {
+	p.mu.Lock()
+	p.refusals++
+	_ = p.listener.Close() // It may be closed already.
+	p.mu.Unlock()
+	p.reset()
+}
+
+// listenAgain ends one call of refuse. The proxy listens once all have ended.
+func (p *proxy) listenAgain() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.returns++
+	if p.closed || p.returns != p.refusals {
+		return nil
+	}
+	return p.listen()
+}
+
 // close stops listening and resets all connections.
 func (p *proxy) close() {
+	p.mu.Lock()
+	p.closed = true
 	_ = p.listener.Close() // The soak test has ended.
+	p.mu.Unlock()
 	p.blocked.Store(false)
 	p.reset()
 }
