soaker: Leave a minion's orders unanswered, and carry out some late

Missing: the platform may carry out a request that gets no answer, or do so seconds later, after newer ones. In the soak a request without an answer was carried out at once or never. Change: while the fault lasts, 40 % of the requests to a minion get no answer; half of these are carried out at once, the others up to 6 s late, by the life of the minion that received them and not after its crash. The agent counts as disturbed until the last of them may have been carried out, since a late start is the platform's doing.

--- a/soaker/agent.go
+++ b/soaker/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -19,6 +20,8 @@
 	// minionNameFormat is the format of minions' names: the agent's index and the
 	// number of the start.
 	minionNameFormat = "m-%d-%d"
+	// firstAnswerStream is the random stream of the first agent's answerRandom.
+	firstAnswerStream = 100
 )
 
 // agent is an agent process with its emulated minion.
@@ -36,6 +39,10 @@
 	minionStarts int
 	// downUntil is the time until which a crashed minion is unreachable.
 	downUntil time.Time
+	// unanswered is the number of faults that leave requests to the minion unanswered
+	// now, and answerRandom draws which of them.
+	unanswered   int
+	answerRandom *rand.Rand
 }
 
 // startAgent starts an agent, its minion and the minion's status reports.
@@ -45,7 +52,7 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, "end what listens there", "open a proxy")
 	}
-	a := &agent{harness: h, index: i, proxy: p}
+	a := &agent{harness: h, index: i, proxy: p, answerRandom: rand.New(rand.NewPCG(h.options.Seed, firstAnswerStream+uint64(i)))}
 	a.startMinion()
 	if err := h.serve(minionAddress, a); err != nil {
 		return err
@@ -126,6 +133,10 @@
 		}
 		return
 	}
+	if answered, lateness := a.drawAnswer(); !answered {
+		a.leaveUnanswered(minion, r, lateness)
+		panic(http.ErrAbortHandler) // Ends the connection without a response.
+	}
 	minion.ServeHTTP(rw, r)
 }
 
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -118,6 +118,7 @@
 	{"silence a minion's connections", 2, proxyFault(minionProxy, func(p *proxy, on bool) { callIf(on, func() { p.blackhole(true) }) })},
 	{"lose a minion's answers", 2, proxyFault(minionProxy, func(p *proxy, on bool) { callIf(on, func() { p.blackhole(false) }) })},
 	{"refuse a minion's connections", 2, refuseConnections},
+	{"leave a minion's orders unanswered", 2, loseAnswers},
 	{"slow callers", 1, proxyFault(callerProxy, func(p *proxy, on bool) { p.delay.Store(pick(on, int64(slowLinkDelay), 0)) })},
 	{"cut callers off", 1, proxyFault(callerProxy, func(p *proxy, on bool) { p.blocked.Store(on) })},
 	{"reset callers", 2, proxyFault(callerProxy, func(p *proxy, on bool) { callIf(on, p.reset) })},
--- a/soaker/minion_faults.go
+++ b/soaker/minion_faults.go
@@ -1,6 +1,23 @@
 package soaker
 
-import "time"
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"agatevalve/platform/imitator"
+)
+
+const (
+	// unansweredShare is the share of the requests to a minion that get no answer.
+	unansweredShare = 0.4
+	// lateShare is the share of these that are carried out late, by up to maxLateness.
+	// The others are carried out at once.
+	lateShare   = 0.5
+	maxLateness = 6 * time.Second
+)
 
 // refuseConnections leaves the port of a minion without a listener, while the minion
 // and its runs go on.
@@ -16,3 +33,50 @@
 		a.harness.checker.addViolation("proxy: %s: %v", a.vm.Node, err)
 	}
 }
+
+// loseAnswers leaves a share of the requests to a minion unanswered. The minion is
+// disturbed until the last of them may have been carried out.
+func loseAnswers(h *harness, duration time.Duration) (string, func()) {
+	a := h.agents[h.faultRandom.IntN(len(h.agents))]
+	until := time.Now().Add(duration + maxLateness)
+	h.checker.markDisturbed(a.vm.Node, until)
+	h.checker.markDisturbed(anyTarget, until)
+	change := func(by int) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.unanswered += by
+	}
+	change(1)
+	return a.vm.Node, func() { change(-1) }
+}
+
+// drawAnswer draws whether a request is answered, and if not, how late it is carried
+// out.
+func (a *agent) drawAnswer() (answered bool, lateness time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.unanswered == 0 || a.answerRandom.Float64() >= unansweredShare {
+		return true, 0
+	}
+	if a.answerRandom.Float64() < lateShare {
+		lateness = time.Duration(a.answerRandom.Int64N(int64(maxLateness)))
+	}
+	return false, lateness
+}
+
+// leaveUnanswered lets a minion carry out a request some time later, and waits until
+// the client gives up. The request is lost with the minion that received it.
+func (a *agent) leaveUnanswered(minion *imitator.Minion, r *http.Request, lateness time.Duration) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	late := r.Clone(context.WithoutCancel(r.Context()))
+	late.Body = io.NopCloser(bytes.NewReader(body))
+	time.AfterFunc(lateness, func() {
+		if a.harness.ctx.Err() == nil {
+			minion.CarryOut(late)
+		}
+	})
+	<-r.Context().Done()
+}
