soaker: Restart a minion under its name

Missing: a minion may start again under the name that it had, with a new clock and a higher incarnation. Minions of the soak always came back under another name, and their ports never refused in between. Change: a fault crashes a minion, refuses connections for 2 to 800 ms, and starts the next incarnation under the same name. Whether a crashed minion was replaced meanwhile no longer follows from its name, the drain deadline of an earlier life is forgotten, and a minion is replaced in one step, so that of two faults which end at once only one replaces it.

--- a/soaker/agent.go
+++ b/soaker/agent.go
@@ -18,7 +18,7 @@
 	// agentNodeFormat is the format of agents' node names.
 	agentNodeFormat = "side-%d"
 	// minionNameFormat is the format of minions' names: the agent's index and the
-	// number of the start.
+	// number of the name.
 	minionNameFormat = "m-%d-%d"
 	// firstAnswerStream is the random stream of the first agent's answerRandom.
 	firstAnswerStream = 100
@@ -35,8 +35,9 @@
 
 	mu     sync.Mutex
 	minion *imitator.Minion
-	// minionStarts counts the starts of the minion.
-	minionStarts int
+	// minionStarts counts the starts of the minion, and minionNames the names that it
+	// had.
+	minionStarts, minionNames int
 	// downUntil is the time until which a crashed minion is unreachable.
 	downUntil time.Time
 	// unanswered is the number of faults that leave requests to the minion unanswered
@@ -53,7 +54,9 @@
 		return fault.Wrap(err, fault.Unavailable, "end what listens there", "open a proxy")
 	}
 	a := &agent{harness: h, index: i, proxy: p, answerRandom: rand.New(rand.NewPCG(h.options.Seed, firstAnswerStream+uint64(i)))}
-	a.startMinion()
+	a.mu.Lock()
+	a.startMinion(false)
+	a.mu.Unlock()
 	if err := h.serve(minionAddress, a); err != nil {
 		return err
 	}
@@ -69,14 +72,17 @@
 	return nil
 }
 
-// startMinion starts the minion with a new incarnation, in place of the last one.
-func (a *agent) startMinion() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
+// startMinion starts the minion with a new incarnation, in place of the last one and
+// with keepName under its name. The lock is held.
+func (a *agent) startMinion(keepName bool) {
 	a.minionStarts++
-	name := fmt.Sprintf(minionNameFormat, a.index, a.minionStarts)
+	if !keepName {
+		a.minionNames++
+	}
+	name := fmt.Sprintf(minionNameFormat, a.index, a.minionNames)
 	c := a.harness.checker
-	minion := imitator.NewMinion(&c.mu, emulator.LeasedOptions{
+	var minion *imitator.Minion
+	minion = imitator.NewMinion(&c.mu, emulator.LeasedOptions{
 		Minion: work.Minion{
 			Name: name, Incarnation: uint64(firstIncarnation + 1000*a.minionStarts), Service: imitator.Service, Zone: zones[a.index%len(zones)],
 			Labels: [][]string{{"a"}, {"a", "b"}}[a.index%2], Room: work.Room{CPU: 8000, Memory: 65536},
@@ -87,10 +93,11 @@
 		OnEnd:   func(run work.Run, state work.State, at time.Time) { c.runStopped(run, state, at) },
 		OnCrash: func(run work.Run, at time.Time) {
 			c.minionCrashed(run, a.vm.Node, at.Add(crashDowntime))
-			go a.restartMinion(name)
+			go a.replaceCrashedMinion(minion)
 		},
 	})
 	c.mu.Lock()
+	delete(c.drainDeadlines, name) // It drained before the restart.
 	if a.minion == nil {
 		c.minions = append(c.minions, minion)
 	} else {
@@ -104,19 +111,31 @@
 	a.minion = minion
 }
 
-// restartMinion starts the minion again some time after a task crashed it.
-func (a *agent) restartMinion(name string) {
+// replaceCrashedMinion replaces a minion some time after a task crashed it.
+func (a *agent) replaceCrashedMinion(minion *imitator.Minion) {
 	a.mu.Lock()
-	a.downUntil = time.Now().Add(crashDowntime)
-	crashed := a.minion
+	current := a.minion == minion
+	if current {
+		a.downUntil = time.Now().Add(crashDowntime)
+	}
 	a.mu.Unlock()
-	current := ""
-	crashed.WithLock(func(l *emulator.LeasedMinion, _ time.Time) { current = l.Describe().Name })
-	if current != name {
+	if !current {
 		return // Replaced meanwhile.
 	}
 	time.Sleep(crashDowntime)
-	a.replaceMinion(crashed)
+	a.replaceMinion(minion, false)
+}
+
+// replaceMinion ends a minion and starts the next one, with keepName under its name,
+// unless it has already been replaced.
+func (a *agent) replaceMinion(minion *imitator.Minion, keepName bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.minion != minion || a.harness.ctx.Err() != nil {
+		return
+	}
+	minion.Crash()
+	a.startMinion(keepName)
 }
 
 // ServeHTTP passes requests to the current minion. Connections to a minion that
@@ -152,7 +171,7 @@
 			address := netip.AddrPortFrom(a.vm.Address, registryPort)
 			if minion.Report(a.harness.ctx, address) {
 				minion.WithLock(func(l *emulator.LeasedMinion, _ time.Time) {
-					if d := l.Describe(); d.Draining {
+					if d := l.Describe(); d.Draining && !minion.Crashed() {
 						if a.harness.checker.drainDeadlines[d.Name].IsZero() {
 							a.harness.checker.drainDeadlines[d.Name] = time.Now().Add(drainGrace)
 						}
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -63,7 +63,7 @@
 		minion := a.minion
 		a.mu.Unlock()
 		minion.WithLock(func(l *emulator.LeasedMinion, _ time.Time) { l.Drain() })
-		time.AfterFunc(reportInterval+drainGrace+time.Second, func() { a.replaceMinion(minion) })
+		time.AfterFunc(reportInterval+drainGrace+time.Second, func() { a.replaceMinion(minion, false) })
 		return "", nil
 	}},
 }
@@ -107,7 +107,7 @@
 		minion := a.minion
 		a.mu.Unlock()
 		minion.Crash()
-		return a.vm.Node, func() { a.replaceMinion(minion) }
+		return a.vm.Node, func() { a.replaceMinion(minion, false) }
 	}},
 	{"slow a minion", 2, minionFault(func(l *emulator.LeasedMinion, now time.Time, on bool) { l.SetSlowdown(now, pick(on, 5.0, 1.0)) })},
 	{"stall a minion", 2, minionFault(func(l *emulator.LeasedMinion, now time.Time, on bool) { l.SetSlowdown(now, pick(on, 0.0, 1.0)) })},
@@ -119,6 +119,7 @@
 	{"lose a minion's answers", 2, proxyFault(minionProxy, func(p *proxy, on bool) { callIf(on, func() { p.blackhole(false) }) })},
 	{"refuse a minion's connections", 2, refuseConnections},
 	{"leave a minion's orders unanswered", 2, loseAnswers},
+	{"restart a minion under its name", 2, restartUnderName},
 	{"slow callers", 1, proxyFault(callerProxy, func(p *proxy, on bool) { p.delay.Store(pick(on, int64(slowLinkDelay), 0)) })},
 	{"cut callers off", 1, proxyFault(callerProxy, func(p *proxy, on bool) { p.blocked.Store(on) })},
 	{"reset callers", 2, proxyFault(callerProxy, func(p *proxy, on bool) { callIf(on, p.reset) })},
@@ -240,18 +241,6 @@
 	}
 }
 
-// replaceMinion restarts the minion, unless it has already been replaced.
-func (a *agent) replaceMinion(minion *imitator.Minion) {
-	a.mu.Lock()
-	current := a.minion == minion
-	a.mu.Unlock()
-	if !current || a.harness.ctx.Err() != nil {
-		return
-	}
-	minion.Crash()
-	a.startMinion()
-}
-
 // injectFaults injects random faults for the configured time, and waits until all
 // have ended.
 func (h *harness) injectFaults() {
--- a/soaker/minion_faults.go
+++ b/soaker/minion_faults.go
@@ -17,6 +17,10 @@
 	// The others are carried out at once.
 	lateShare   = 0.5
 	maxLateness = 6 * time.Second
+	// minRestartPause and maxRestartPause limit the time between a crash and the
+	// restart under the same name.
+	minRestartPause = 2 * time.Millisecond
+	maxRestartPause = 800 * time.Millisecond
 )
 
 // refuseConnections leaves the port of a minion without a listener, while the minion
@@ -38,9 +42,7 @@
 // disturbed until the last of them may have been carried out.
 func loseAnswers(h *harness, duration time.Duration) (string, func()) {
 	a := h.agents[h.faultRandom.IntN(len(h.agents))]
-	until := time.Now().Add(duration + maxLateness)
-	h.checker.markDisturbed(a.vm.Node, until)
-	h.checker.markDisturbed(anyTarget, until)
+	a.markDisturbed(duration + maxLateness)
 	change := func(by int) {
 		a.mu.Lock()
 		defer a.mu.Unlock()
@@ -80,3 +82,44 @@
 	})
 	<-r.Context().Done()
 }
+
+// restartUnderName crashes a minion, and starts its next incarnation under the same
+// name.
+func restartUnderName(h *harness, _ time.Duration) (string, func()) {
+	a := h.agents[h.faultRandom.IntN(len(h.agents))]
+	pause := minRestartPause + time.Duration(h.faultRandom.Int64N(int64(maxRestartPause-minRestartPause)))
+	a.mu.Lock()
+	minion := a.minion
+	a.mu.Unlock()
+	a.markDisturbed(pause)
+	a.endMinion(minion, pause, true)
+	return a.vm.Node, nil
+}
+
+// endMinion ends a minion, refuses connections for a while, and then starts the next
+// one, with keepName under its name. It does nothing if the minion has already been
+// replaced.
+func (a *agent) endMinion(minion *imitator.Minion, pause time.Duration, keepName bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.minion != minion {
+		return
+	}
+	if until := time.Now().Add(pause); until.After(a.downUntil) {
+		a.downUntil = until
+	}
+	minion.Crash()
+	a.proxy.refuse()
+	time.AfterFunc(pause, func() {
+		a.replaceMinion(minion, keepName)
+		a.listenAgain()
+	})
+}
+
+// markDisturbed records that a fault affects the agent for a time other than the one
+// drawn for it.
+func (a *agent) markDisturbed(duration time.Duration) {
+	until := time.Now().Add(duration)
+	a.harness.checker.markDisturbed(a.vm.Node, until)
+	a.harness.checker.markDisturbed(anyTarget, until)
+}
