soaker: Remove a minion that ends some time after its departure

Missing: a minion that leaves announces it to its agent and may go on for a while; in the soak minions were only drained, and replaced without a departure. Change: a fault drains a minion, sends the departure when it ends, lets the minion and its runs go on for up to 300 ms more, and starts a minion under another name up to 1 s later.

--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -120,6 +120,7 @@
 	{"refuse a minion's connections", 2, refuseConnections},
 	{"leave a minion's orders unanswered", 2, loseAnswers},
 	{"restart a minion under its name", 2, restartUnderName},
+	{"remove a minion", 2, removeMinion},
 	{"slow callers", 1, proxyFault(callerProxy, func(p *proxy, on bool) { p.delay.Store(pick(on, int64(slowLinkDelay), 0)) })},
 	{"cut callers off", 1, proxyFault(callerProxy, func(p *proxy, on bool) { p.blocked.Store(on) })},
 	{"reset callers", 2, proxyFault(callerProxy, func(p *proxy, on bool) { callIf(on, p.reset) })},
--- a/soaker/minion_faults.go
+++ b/soaker/minion_faults.go
@@ -5,8 +5,10 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"time"
 
+	"agatevalve/emulator"
 	"agatevalve/platform/imitator"
 )
 
@@ -21,6 +23,13 @@
 	// restart under the same name.
 	minRestartPause = 2 * time.Millisecond
 	maxRestartPause = 800 * time.Millisecond
+	// maxEndDelay limits the time from the departure of a minion to its end, and
+	// maxReplacementPause that from its end to the start of the next one.
+	maxEndDelay         = 300 * time.Millisecond
+	maxReplacementPause = time.Second
+	// departureTimeout is the time within which the agent answers a departure, or the
+	// minion goes on without an answer.
+	departureTimeout = time.Second
 )
 
 // refuseConnections leaves the port of a minion without a listener, while the minion
@@ -96,6 +105,39 @@
 	return a.vm.Node, nil
 }
 
+// removeMinion drains a minion. At the end of the fault the minion announces its
+// departure, and it ends some time after that. Its runs go on until then. A minion
+// under another name follows.
+func removeMinion(h *harness, duration time.Duration) (string, func()) {
+	a := h.agents[h.faultRandom.IntN(len(h.agents))]
+	endDelay := time.Duration(h.faultRandom.Int64N(int64(maxEndDelay)))
+	pause := time.Duration(h.faultRandom.Int64N(int64(maxReplacementPause)))
+	a.mu.Lock()
+	minion := a.minion
+	a.mu.Unlock()
+	minion.WithLock(func(l *emulator.LeasedMinion, _ time.Time) { l.Drain() })
+	a.markDisturbed(duration + departureTimeout + endDelay + pause)
+	return a.vm.Node, func() {
+		if !a.isCurrent(minion) {
+			return
+		}
+		ctx, cancel := context.WithTimeout(h.ctx, departureTimeout)
+		defer cancel()
+		minion.Depart(ctx, netip.AddrPortFrom(a.vm.Address, registryPort))
+		time.Sleep(endDelay)
+		a.endMinion(minion, pause, false)
+	}
+}
+
+// isCurrent reports whether a minion has neither crashed nor been replaced.
+func (a *agent) isCurrent(minion *imitator.Minion) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	crashed := false
+	minion.WithLock(func(*emulator.LeasedMinion, time.Time) { crashed = minion.Crashed() })
+	return a.minion == minion && !crashed
+}
+
 // endMinion ends a minion, refuses connections for a while, and then starts the next
 // one, with keepName under its name. It does nothing if the minion has already been
 // replaced.
