--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +16,9 @@
 // plannedSeed is a seed that draws planned maintenance only.
 const plannedSeed = 2
 
+// refusingSeed is the seed of the soak test with refused connections.
+const refusingSeed = 3
+
 // programDir is the directory of the built programs.
 var programDir string
 
@@ -59,6 +63,17 @@
 	}
 }
 
+// TestNothingRunsTwiceWhileAMinionRefusesConnections checks that no guarantee is
+// violated while ports of minions have no listener though their runs go on.
+func TestNothingRunsTwiceWhileAMinionRefusesConnections(t *testing.T) {
+	result := soak(t, soaker.Options{
+		Seed: refusingSeed, FaultDuration: 3 * time.Second, FaultPattern: regexp.MustCompile("^refuse a minion's connections$"), Entries: 2, Agents: 3,
+	})
+	if len(result.Violations) > 0 {
+		t.Errorf("seed %d:\n%s", refusingSeed, strings.Join(result.Violations, "\n"))
+	}
+}
+
 // TestSoakDetectsPlantedFaults checks that the checker reports each planted
 // violation. It uses plannedSeed because other faults suspend some of the checks.
 func TestSoakDetectsPlantedFaults(t *testing.T) {
