supervisor: Keep the runs of a minion that refuses connections

Cause: an agent took a refused connection to its minion for the proof that the minion had crashed. It reported the runs there as lost, and entries placed their tasks again, also if the port refuses for other reasons and the runs go on until their lease lapses.

That the ports of the users' minions refuse while runs go on isn't shown.

Change: runs count as lost once another incarnation is known, or their lease has lapsed. Until then the minion gets no orders. If the same incarnation answers again, its runs go on as if nothing had happened. The crash is still reported at the first refusal, so that entries keep deadly work in check, but the report is withdrawn if the minion answers. So a job is given up for crashes only once its run is lost. A lease also lapses while the minion's lists are unknown. A run that may have moved to the next incarnation is lost after 1.5 s without an answer of that one, as its lease isn't known.

--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -56,6 +56,9 @@
 	OnProbation bool
 	At          time.Time
 	Kind        VerdictKind
+
+	// crash is the last crash.
+	crash crashID
 }
 
 // VerdictKind tells what a verdict rests on.
@@ -142,32 +145,54 @@
 	if known, found := a.knownCause(c); found {
 		a.explain(id, known)
 	} else if cause, found := a.findCause(id, c); found {
-		verdicts = append(verdicts, a.decide(now, cause, Proved))
+		verdicts = append(verdicts, a.decide(now, id, cause, Proved))
 		a.addToProfile(cause)
 		for other := range a.suspect(cause.Run.Task).ages {
 			a.explain(other, cause.Run.Task)
 		}
 	} else if cause, found := a.presumeCause(c); found {
-		verdicts = append(verdicts, a.decide(now, cause, Presumed))
+		verdicts = append(verdicts, a.decide(now, id, cause, Presumed))
 		a.explain(id, cause.Run.Task)
 	}
 	for _, r := range c.Runs {
 		if !a.verdicts[r.Run.Job].Kind.Final() && a.suspect(r.Run.Task).crashes >= maxTaskCrashes {
-			verdicts = append(verdicts, a.decide(now, r, Recurring))
+			verdicts = append(verdicts, a.decide(now, id, r, Recurring))
 		}
 	}
 	return verdicts, true
 }
 
 // decide stores the verdict on a run of a crash.
-func (a *Attributor) decide(now time.Time, r work.CrashedRun, kind VerdictKind) Verdict {
-	v := Verdict{Task: r.Run.Task, Route: r.Route, Crashes: a.suspect(r.Run.Task).crashes, Age: r.Age, OnProbation: r.OnProbation, At: now, Kind: kind}
+func (a *Attributor) decide(now time.Time, id crashID, r work.CrashedRun, kind VerdictKind) Verdict {
+	v := Verdict{
+		Task: r.Run.Task, Route: r.Route, Crashes: a.suspect(r.Run.Task).crashes, Age: r.Age, OnProbation: r.OnProbation, At: now, Kind: kind, crash: id,
+	}
 	a.verdictOrder = slices.DeleteFunc(a.verdictOrder, func(job string) bool { return job == r.Run.Job })
 	a.verdicts[r.Run.Job] = v
 	a.verdictOrder = append(a.verdictOrder, r.Run.Job)
 	return v
 }
 
+// Withdraw removes a crash that did not happen, and the verdicts that came with it. It
+// reports whether the crash was known.
+func (a *Attributor) Withdraw(minion string, incarnation uint64) bool {
+	id := crashID{minion: minion, incarnation: incarnation}
+	c := a.crashes[id]
+	if c == nil {
+		return false
+	}
+	for _, r := range c.Runs {
+		a.forgetSuspect(r.Run.Task, id)
+		if v, found := a.verdicts[r.Run.Job]; found && v.crash == id {
+			delete(a.verdicts, r.Run.Job)
+			a.verdictOrder = slices.DeleteFunc(a.verdictOrder, func(job string) bool { return job == r.Run.Job })
+		}
+	}
+	delete(a.crashes, id)
+	a.crashOrder = slices.DeleteFunc(a.crashOrder, func(o crashID) bool { return o == id })
+	return true
+}
+
 // Verdict returns the verdict on a task of a job.
 func (a *Attributor) Verdict(job string) (Verdict, bool) {
 	v, found := a.verdicts[job]
--- a/attributor/attributor_test.go
+++ b/attributor/attributor_test.go
@@ -137,3 +137,21 @@
 		}
 	})
 }
+
+// Guards against verdicts that rest on a crash that did not happen.
+func TestWithdrawnCrashLeavesNoSuspectAndNoVerdict(t *testing.T) {
+	is := is.New(t)
+	a := attributor.New()
+	a.Record(start, crashed(1, lost("job", 0, 20)))
+	verdicts, _ := a.Record(start, crashed(2, lost("job", 0, 21), lost("beside", 0, 50)))
+	is.Equal(len(verdicts), 1)
+	is.True(a.Withdraw("m-2", 1))
+	is.True(!a.Withdraw("m-2", 1))
+	_, condemned := a.Verdict("job")
+	is.True(!condemned)
+	is.Equal(a.Probation("beside"), time.Duration(0))
+	is.True(a.Probation("job") > 0) // It was lost in the first crash.
+	verdicts, isNew := a.Record(start, crashed(2, lost("job", 0, 20)))
+	is.True(isNew) // The minion crashes after all.
+	is.Equal(len(verdicts), 1)
+}
--- a/common/work/crash.go
+++ b/common/work/crash.go
@@ -7,8 +7,12 @@
 	Minion      string
 	Incarnation uint64
 	At          time.Time
-	// Runs are the runs that may have been running, of all entries.
+	// Runs are the runs that may have been running, of all entries. An agent reports
+	// no crash without runs.
 	Runs []CrashedRun
+	// Withdrawn is true if an earlier report of the crash is withdrawn, since the
+	// minion has answered. There are no runs then.
+	Withdrawn bool
 }
 
 // CrashedRun is a run at a minion that crashed.
--- a/coupler/codec.go
+++ b/coupler/codec.go
@@ -79,7 +79,7 @@
 }
 
 // crashToWire sends the time of a crash as the time since, because the clocks of
-// two VMs may differ.
+// two VMs may differ. A withdrawal is a crash without runs.
 func crashToWire(c work.Crash, now time.Time) *v1.MinionCrash {
 	crash := &v1.MinionCrash{Minion: c.Minion, Incarnation: c.Incarnation, Ago: durationpb.New(now.Sub(c.At))}
 	for _, r := range c.Runs {
@@ -97,6 +97,7 @@
 		}
 		crash.Runs = append(crash.Runs, work.CrashedRun{Run: run, Route: r.GetRoute(), Age: r.GetAge().AsDuration(), OnProbation: r.GetOnProbation()})
 	}
+	crash.Withdrawn = len(crash.Runs) == 0
 	return crash, nil
 }
 
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -256,36 +256,6 @@
 	}
 }
 
-// markRunsLost handles all runs at an agent as lost.
-func (c *Core) markRunsLost(now time.Time, a *agent, reason work.Reason) {
-	for _, t := range sortedTasks(a.runs) {
-		c.handleReport(now, a, work.Report{Run: t.run(), State: work.Lost, Reason: reason})
-	}
-	c.clearStopping(a)
-}
-
-// expireAgents handles the runs of an agent as lost once it has been
-// disconnected for so long that none of them can still be running. It removes
-// agents that have been disconnected for long and have no runs.
-func (c *Core) expireAgents(now time.Time) {
-	var stale []*agent
-	for _, a := range c.sortedAgents {
-		if a.disconnectedAt.IsZero() {
-			continue
-		}
-		downtime := now.Sub(a.disconnectedAt)
-		if downtime > c.options.RunLossTimeout && len(a.runs)+len(a.stopping) > 0 {
-			c.markRunsLost(now, a, "its agent is disconnected")
-		}
-		if downtime > agentRetention && len(a.runs) == 0 {
-			stale = append(stale, a)
-		}
-	}
-	for _, a := range stale {
-		c.dropAgent(a)
-	}
-}
-
 // acknowledge confirms newly processed reports to the agent.
 func (c *Core) acknowledge(a *agent) {
 	if a.acked > a.ackSent && a.link != 0 {
@@ -370,6 +340,9 @@
 // taskReturned handles a run that was refused, stopped or lost. The task waits
 // for another run, or its job is given up if it can't end in time.
 func (c *Core) taskReturned(now time.Time, a *agent, t *task, report work.Report) {
+	if c.condemnLost(now, t.job, report) {
+		return
+	}
 	if report.State == work.Refused || report.Reason == work.ReasonUnstarted {
 		t.job.possibleStarts--
 		t.job.mayHaveStarted = t.job.possibleStarts > 0
--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -15,9 +15,14 @@
 
 // recordCrashes records crashes that an agent reports, and gives up jobs with a
 // task that crashes minions. The agent's minion is down if its latest incarnation
-// has crashed.
+// has crashed. A job whose task may still be running is given up once that run has
+// ended, since the agent may withdraw the crash.
 func (c *Core) recordCrashes(now time.Time, a *agent, incarnation uint64, crashes []work.Crash) {
 	for _, crash := range crashes {
+		if crash.Withdrawn {
+			c.withdrawCrash(a, crash)
+			continue
+		}
 		if crash.At.After(now) {
 			crash.At = now // Of a malformed message.
 		}
@@ -34,13 +39,35 @@
 			if v.Kind != attributor.Recurring {
 				c.observeVerdict(now, crash.At, v)
 			}
-			if j := c.jobs[v.Task.Job]; j != nil {
+			if j := c.jobs[v.Task.Job]; j != nil && !j.isPlaced(v.Task.Index) {
 				c.condemn(now, j, v)
 			}
 		}
 	}
 }
 
+// withdrawCrash forgets a crash that did not happen.
+func (c *Core) withdrawCrash(a *agent, crash work.Crash) {
+	if !c.attributor.Withdraw(crash.Minion, crash.Incarnation) {
+		return
+	}
+	if crash.Minion == a.minion.Name && crash.Incarnation == a.minion.Incarnation {
+		a.crashedAt, a.down, c.bulkheads.partitionedAt = time.Time{}, false, time.Time{}
+	}
+	c.emit(LogMessage{Text: "A crash was withdrawn", Agent: a.id, Attributes: []any{"minion", crash.Minion, "incarnation", crash.Incarnation}})
+}
+
+// condemnLost gives up the job of a run that was lost if there is a verdict on it, and
+// reports whether there is one.
+func (c *Core) condemnLost(now time.Time, j *job, report work.Report) bool {
+	v, condemned := c.attributor.Verdict(j.ID)
+	if report.State != work.Lost || !condemned {
+		return false
+	}
+	c.condemn(now, j, v)
+	return true
+}
+
 // condemn gives up a job because of a verdict. If its guilt is only presumed, its
 // caller may send it again.
 func (c *Core) condemn(now time.Time, j *job, v attributor.Verdict) {
--- a/supervisor/answers.go
+++ b/supervisor/answers.go
@@ -140,6 +140,7 @@
 		Text: "The minion refused connections but had not crashed", Reason: "refused for " + now.Sub(m.refusingSince).String(), Count: running, Minion: m.Minion,
 	})
 	m.refusingSince = time.Time{}
+	c.withdrawCrash()
 }
 
 // awaitDescription switches to the incarnation of a list, which has not described
@@ -259,15 +260,17 @@
 	m.failedRenewals++
 }
 
-// apply ends all runs that may have been running as lost, and refuses the
-// queued ones. No run is accepted until the minion answers again.
+// apply refuses the queued runs, and reports the crash that is presumed. The other runs
+// may go on, since a port can refuse connections for other reasons: they are lost once
+// their lease has lapsed or another incarnation is known. No run is accepted until the
+// minion answers again.
 func (ev MinionDown) apply(c *Core, now time.Time) {
 	RenewalFailed(ev).apply(c, now)
 	if c.minion.refusingSince.IsZero() {
+		c.presumeCrash(now)
 		c.minion.refusingSince = now
 	}
 	wasReconciled := c.minion.reconciled
-	c.loseRunsInCrash(now)
 	c.minion.reconciled = false
 	if wasReconciled {
 		c.refuseQueued(now, work.ReasonUnreachable)
--- a/supervisor/core.go
+++ b/supervisor/core.go
@@ -228,8 +228,7 @@
 		c.endOrder = c.endOrder[1:]
 	}
 	if c.minion.hasLapsed(now) {
-		c.minion.lapsedRuns = append(c.minion.lapsedRuns, c.runsAtRisk(now, c.silentSince(now))...)
-		c.loseRuns(now, "the lease has lapsed")
+		c.loseLapsedRuns(now)
 	}
 	for _, r := range c.copyRuns() {
 		c.expireRun(now, r)
@@ -261,10 +260,13 @@
 }
 
 // expireRun refuses or stops a run that can't end before its deadline, and
-// begins to stop a run whose start order has gone unanswered for too long.
+// begins to stop a run whose start order has gone unanswered for too long. A moved
+// run is lost once the next incarnation has been silent for too long.
 func (c *Core) expireRun(now time.Time, r *run) {
 	minDuration := time.Duration(minWorkFraction * float64(c.expectedDuration(r.order)))
 	switch {
+	case r.moved && now.Sub(c.minion.lastContactAt()) > movedRunTimeout:
+		c.endRun(now, r, work.Report{State: work.Lost, Reason: work.ReasonCrashed, Took: now.Sub(r.startSentAt)})
 	case r.phase == queued && now.Add(minDuration).After(r.order.EndBefore):
 		c.endRun(now, r, work.Report{State: work.Refused, Reason: work.ReasonLate})
 	case r.phase == running && now.After(r.order.EndBefore):
--- a/supervisor/crashes.go
+++ b/supervisor/crashes.go
@@ -17,25 +17,61 @@
 	// maxCrashNotice is the longest time from the first failed renewal to the notice
 	// of the crash that explains it.
 	maxCrashNotice = 50 * time.Millisecond
+	// movedRunTimeout is the time without an answer of the minion after which a moved
+	// run is lost. It exceeds the longest lease that a minion grants.
+	movedRunTimeout = 1500 * time.Millisecond
 )
 
+// presumeCrash reports a crash of the minion to all linked entries, so that they treat
+// its runs as suspects. The end of a draining minion is planned.
+func (c *Core) presumeCrash(now time.Time) {
+	crashedAt := c.crashTime(now)
+	atRisk := append(c.runsAtRisk(now, crashedAt), c.minion.lapsedRuns...)
+	c.minion.lapsedRuns = nil
+	if !c.minion.Draining && !c.minion.departed && len(atRisk) > 0 {
+		c.reportCrash(work.Crash{Minion: c.minion.Name, Incarnation: c.minion.Incarnation, At: crashedAt, Runs: atRisk})
+	}
+}
+
+// withdrawCrash withdraws the report of a crash, since the minion has answered.
+func (c *Core) withdrawCrash() {
+	at := slices.IndexFunc(c.crashes, func(o work.Crash) bool {
+		return o.Minion == c.minion.Name && o.Incarnation == c.minion.Incarnation
+	})
+	if at < 0 {
+		return
+	}
+	withdrawn := c.crashes[at]
+	withdrawn.Runs, withdrawn.Withdrawn = nil, true
+	c.crashes = slices.Delete(c.crashes, at, at+1)
+	c.sendCrash(withdrawn)
+}
+
 // loseRunsInCrash ends the runs of a minion whose process has ended, but for those
-// that are kept, and reports the crash to all linked entries. The end of a draining
-// minion is planned.
+// that are kept, and reports the crash if that has not been done.
 func (c *Core) loseRunsInCrash(now time.Time, kept ...*run) {
+	if c.minion.refusingSince.IsZero() {
+		c.presumeCrash(now)
+	}
 	reason := work.ReasonCrashed
 	if c.minion.Draining || c.minion.departed {
 		reason = "the minion has left"
 	}
-	crashedAt := c.crashTime(now)
-	atRisk := append(c.runsAtRisk(now, crashedAt), c.minion.lapsedRuns...)
-	c.minion.lapsedRuns = nil
-	if reason == work.ReasonCrashed && len(atRisk) > 0 {
-		c.reportCrash(work.Crash{Minion: c.minion.Name, Incarnation: c.minion.Incarnation, At: crashedAt, Runs: atRisk})
-	}
 	c.loseRuns(now, reason, kept...)
 }
 
+// loseLapsedRuns ends the runs of a minion whose lease has lapsed. One that refused
+// connections until then counts as crashed, another one only if a later incarnation
+// follows.
+func (c *Core) loseLapsedRuns(now time.Time) {
+	if !c.minion.refusingSince.IsZero() {
+		c.loseRunsInCrash(now)
+		return
+	}
+	c.minion.lapsedRuns = append(c.minion.lapsedRuns, c.runsAtRisk(now, c.silentSince(now))...)
+	c.loseRuns(now, "the lease has lapsed")
+}
+
 // moveRuns marks and returns the runs that the next incarnation of the minion may have
 // started: those that it lists, and those whose start was not answered, or only after
 // renewals had begun to fail. They are stopped there before they are reported as lost.
@@ -97,6 +133,11 @@
 	}
 	c.crashes = append(c.crashes, crash)
 	c.emit(LogMessage{Text: "The minion crashed", Count: len(crash.Runs), Minion: c.minion.Minion})
+	c.sendCrash(crash)
+}
+
+// sendCrash sends the report of a crash, or its withdrawal, to all linked entries.
+func (c *Core) sendCrash(crash work.Crash) {
 	for _, e := range c.sortedEntries {
 		if e.link != 0 {
 			c.emit(ReportCrash{Entry: e.name, Crash: crash})
--- a/supervisor/minion.go
+++ b/supervisor/minion.go
@@ -60,7 +60,7 @@
 	// minion was silent. If another incarnation follows, the minion had crashed.
 	lapsedRuns []work.CrashedRun
 	// refusingSince is the time of the first renewal that was refused since the
-	// minion last answered; zero without any.
+	// minion last answered; zero without any. The minion is presumed to have crashed.
 	refusingSince time.Time
 	// departed is true once the minion has announced its shutdown.
 	departed bool
@@ -87,6 +87,15 @@
 	return incarnation < m.Incarnation && requestedAt.Before(m.since)
 }
 
+// lastContactAt returns the time at which this incarnation last answered, or was first
+// heard of.
+func (m *minionState) lastContactAt() time.Time {
+	if m.lastAnswerAt.After(m.since) {
+		return m.lastAnswerAt
+	}
+	return m.since
+}
+
 // ackableEnd returns the number of the newest end to acknowledge: 0 after a failed
 // renewal, since another incarnation, whose ends have other numbers, may answer next.
 func (m *minionState) ackableEnd() uint64 {
@@ -104,7 +113,7 @@
 
 // leaseExpired reports whether the lease has expired by the minion's clock.
 func (m *minionState) leaseExpired(at time.Time) bool {
-	return m.reconciled && m.leaseExpiry > 0 && m.minClock(at) > m.leaseExpiry+leaseMargin
+	return m.leaseExpiry > 0 && m.minClock(at) > m.leaseExpiry+leaseMargin
 }
 
 // hasLapsed reports whether the lease has expired and the minion has not shown
