--- /dev/null
+++ b/rehearser/minion.go
@@ -0,0 +1,92 @@
+package rehearser
+
+import (
+	"fmt"
+	"time"
+
+	"agatevalve/common/work"
+	"agatevalve/emulator"
+)
+
+// startMinion replaces the minion by a new incarnation. Runs of the previous
+// one are lost.
+func (a *agentNode) startMinion() {
+	if a.minion != nil {
+		a.minion.Crash(a.world.now)
+	}
+	a.minionIncarnation++
+	name := fmt.Sprintf("minion-%02d-%d", a.index, a.minionIncarnation)
+	a.minion = emulator.NewLeasedMinion(emulator.LeasedOptions{
+		Minion:         work.Minion{Name: name, Incarnation: uint64(a.minionIncarnation), Service: serviceName, Zone: a.world.zoneOf(a.index), Room: a.world.day.Room, Labels: a.labels()},
+		DurationFactor: a.world.day.DurationFactors[a.index], MaxLease: maxLease, IgnoreLeaseExpiry: a.world.day.IgnoreLeaseExpiry, AllowOvercommit: a.world.day.AllowOvercommit,
+		Profile: a.world.profile,
+		OnStart: func(run work.Run, at time.Time) {
+			a.world.verifier.runStarted(name, run, at)
+			a.world.verifier.checkZone(a, run)
+			a.world.verifier.startedBy[run] = agentProcess{agent: a, incarnation: a.incarnation}
+			a.onRunChange()
+		},
+		OnEnd: func(run work.Run, state work.State, at time.Time) {
+			a.world.verifier.runEnded(name, run, state, at)
+			a.onRunChange()
+		},
+		OnEndAcknowledged: a.world.verifier.endAcknowledged,
+		OnCrash: func(run work.Run, at time.Time) {
+			a.world.verifier.minionCrashed(run, at)
+			a.crash(crashDowntime)
+			a.refusesUntil = a.crashedUntil
+		},
+	}, a.world.now)
+}
+
+// crash ends the minion and all its runs, and starts it again after a time.
+func (a *agentNode) crash(downtime time.Duration) {
+	a.minion.Crash(a.world.now)
+	if restart := a.world.now.Add(downtime); restart.After(a.crashedUntil) {
+		a.crashedUntil = restart
+	}
+	a.world.after(downtime, func() {
+		if !a.world.now.Before(a.crashedUntil) { // A later crash may last longer.
+			a.startMinion()
+			a.sendStatus() // A minion registers when it starts.
+		}
+	})
+}
+
+// labels returns the labels of the agent's minion.
+func (a *agentNode) labels() []string {
+	if len(a.world.day.Labels) == 0 {
+		return nil
+	}
+	return a.world.day.Labels[a.index%len(a.world.day.Labels)]
+}
+
+// scheduleNextEnd schedules the next end of a run at the minion. Only the
+// latest timer counts; if the lease was extended meanwhile, it schedules the
+// new end.
+func (a *agentNode) scheduleNextEnd() {
+	a.latestEndTimer++
+	minion, timer := a.minion, a.latestEndTimer
+	next, exists := minion.NextEnd()
+	if !exists {
+		return
+	}
+	a.world.after(max(next.Sub(a.world.now), 0), func() {
+		if a.minion == minion && a.latestEndTimer == timer {
+			minion.Advance(a.world.now)
+			a.scheduleNextEnd()
+		}
+	})
+}
+
+// onRunChange sends the delayed response to a renewal and reschedules the next
+// end.
+func (a *agentNode) onRunChange() {
+	a.world.after(0, func() {
+		if release := a.releaseRenewal; release != nil {
+			a.releaseRenewal = nil
+			release()
+		}
+		a.scheduleNextEnd()
+	})
+}
--- /dev/null
+++ b/rehearser/orders.go
@@ -0,0 +1,137 @@
+package rehearser
+
+import (
+	"cmp"
+	"time"
+
+	"agatevalve/emulator"
+	"agatevalve/supervisor"
+)
+
+const (
+	// minLateDelay and maxLateDelay bound the delay of an order whose answer is
+	// lost and which the minion executes late.
+	minLateDelay = 2 * time.Second
+	maxLateDelay = 12 * time.Second
+	// orderTimeout is the agent's timeout for answers of the minion to starts
+	// and stops.
+	orderTimeout = 120 * time.Millisecond
+)
+
+// sendOrder sends an order to the minion and delivers its answer. The order and
+// its answer may both be lost, or only the answer, and then the order is executed
+// late. perform executes the order, with any lease in it later by a delay, and
+// returns the answer, or nil if the answer follows later; timeoutEvent is delivered
+// if there is no answer.
+// refusal is delivered if nothing listens at the minion's address.
+func (a *agentNode) sendOrder(timeout time.Duration, perform func(m *emulator.LeasedMinion, leaseDelay time.Duration) supervisor.Event, timeoutEvent, refusal supervisor.Event) {
+	incarnation, minion := a.incarnation, a.minion
+	answer := func(ev supervisor.Event) {
+		if a.incarnation == incarnation {
+			a.deliver(ev)
+		}
+	}
+	if a.world.random.Float64() < a.world.day.LostAnswerShare {
+		shortest, longest := cmp.Or(a.world.day.MinLateDelay, minLateDelay), cmp.Or(a.world.day.MaxLateDelay, maxLateDelay)
+		delay := shortest + time.Duration(a.world.random.Int64N(int64(longest-shortest)))
+		leaseDelay := time.Duration(0)
+		if a.world.day.LateLeasesCount {
+			leaseDelay = delay
+		}
+		a.world.after(delay, func() {
+			if a.minion == minion {
+				a.executesLate = true
+				perform(minion, leaseDelay)
+				a.executesLate = false
+			}
+		})
+		a.world.after(timeout, func() { answer(timeoutEvent) })
+		return
+	}
+	if a.world.now.Before(a.refusesUntil) {
+		a.world.after(orderDelay, func() { answer(refusal) })
+		return
+	}
+	if a.world.now.Before(a.unreachableUntil) || a.world.now.Before(a.crashedUntil) {
+		a.world.after(timeout, func() { answer(timeoutEvent) })
+		return
+	}
+	a.world.after(orderDelay, func() {
+		if a.minion != minion || a.world.now.Before(a.crashedUntil) {
+			answer(timeoutEvent)
+			return
+		}
+		if ev := perform(minion, 0); ev != nil {
+			a.world.after(orderDelay, func() { answer(ev) })
+		}
+	})
+}
+
+func (a *agentNode) startRun(c supervisor.StartRun) {
+	a.sendOrder(orderTimeout, func(m *emulator.LeasedMinion, leaseDelay time.Duration) supervisor.Event {
+		answer := supervisor.StartOtherIncarnation
+		if m.Describe().Name == c.Minion {
+			order := c
+			order.LeaseExpiry += leaseDelay
+			answer = m.Start(a.world.now, order)
+		}
+		return supervisor.StartAnswered{Run: c.Run, Incarnation: c.Incarnation, Answer: answer, FencingToken: c.FencingToken, Clock: m.Clock(a.world.now)}
+	}, supervisor.StartAnswered{Run: c.Run, Incarnation: c.Incarnation, Answer: supervisor.StartUnanswered},
+		supervisor.StartAnswered{Run: c.Run, Incarnation: c.Incarnation, Answer: supervisor.StartUnreachable})
+}
+
+func (a *agentNode) stopRun(c supervisor.StopRun) {
+	a.sendOrder(orderTimeout, func(m *emulator.LeasedMinion, _ time.Duration) supervisor.Event {
+		admitted := m.Admits(c.FencingToken)
+		if admitted {
+			m.Stop(a.world.now, c.Run)
+		}
+		return supervisor.StopAnswered{
+			Run: c.Run, Incarnation: c.Incarnation, Answered: admitted, Fenced: !admitted, FencingToken: c.FencingToken, Clock: m.Clock(a.world.now),
+		}
+	}, supervisor.StopAnswered{Run: c.Run, Incarnation: c.Incarnation}, supervisor.StopAnswered{Run: c.Run, Incarnation: c.Incarnation})
+}
+
+// renewLease renews the minion's lease and requests a list of its runs. The
+// minion delays the response until a run ends or the requested wait is over
+// (long polling).
+func (a *agentNode) renewLease(c supervisor.RenewLease) {
+	requestedAt, incarnation, minion := a.now(), a.incarnation, a.minion
+	listRuns := func(m *emulator.LeasedMinion) supervisor.Event {
+		running, ended := m.RenewLease(a.world.now, c)
+		return supervisor.RunsListed{
+			ListOnly: c.ListOnly, FencingToken: c.FencingToken, Incarnation: uint64(a.minionIncarnation), RequestedAt: requestedAt, Clock: m.Clock(a.world.now), Running: running, Ended: ended,
+		}
+	}
+	a.sendOrder(c.Wait+c.AnswerTimeout, func(m *emulator.LeasedMinion, leaseDelay time.Duration) supervisor.Event {
+		if !m.Admits(c.FencingToken) {
+			return supervisor.RenewalFenced{ListOnly: c.ListOnly, FencingToken: c.FencingToken}
+		}
+		if c.LeaseExpiry > 0 {
+			c.LeaseExpiry += leaseDelay
+		}
+		ev := listRuns(m)
+		if listed := ev.(supervisor.RunsListed); len(listed.Ended) > 0 || c.Wait == 0 {
+			return ev
+		}
+		released := false
+		release := func() {
+			if released || a.incarnation != incarnation || a.minion != minion {
+				return
+			}
+			released = true
+			ev := listRuns(m)
+			if a.world.now.Before(a.refusesUntil) {
+				ev = supervisor.RenewalFailed{ListOnly: c.ListOnly}
+			}
+			a.world.after(orderDelay, func() {
+				if a.incarnation == incarnation {
+					a.deliver(ev)
+				}
+			})
+		}
+		a.releaseRenewal = release
+		a.world.after(c.Wait, release)
+		return nil
+	}, supervisor.RenewalFailed{ListOnly: c.ListOnly}, supervisor.MinionDown{ListOnly: c.ListOnly})
+}
