rehearser: Refuse the connections of a minion that runs on

Change: the fault refuse-minion. For its duration the port refuses connections; requests in flight, among them a renewal that the minion delays, fail at its beginning; the minion and its runs go on. An order that is refused is not executed late either, as it never reached the minion.

--- a/rehearser/day.go
+++ b/rehearser/day.go
@@ -148,6 +148,9 @@
 	FailMinion  FaultKind = "fail-minion"
 	DrainMinion FaultKind = "drain-minion"
 	CutMinion   FaultKind = "cut-minion"
+	// RefuseMinion makes the port of a minion refuse connections while its runs go
+	// on.
+	RefuseMinion FaultKind = "refuse-minion"
 	// ShrinkMinion halves the capacity of a minion.
 	ShrinkMinion FaultKind = "shrink-minion"
 	// EvacuateZone evacuates the zone of a minion.
--- a/rehearser/faults.go
+++ b/rehearser/faults.go
@@ -52,6 +52,8 @@
 		w.after(f.For, func() { m.SetRoom(w.now, full) })
 	case CutMinion:
 		a.unreachableUntil = w.now.Add(f.For)
+	case RefuseMinion:
+		a.refuseConnections(w.now.Add(f.For))
 	}
 }
 
--- a/rehearser/minion.go
+++ b/rehearser/minion.go
@@ -34,7 +34,7 @@
 		OnCrash: func(run work.Run, at time.Time) {
 			a.world.verifier.minionCrashed(run, at)
 			a.crash(crashDowntime)
-			a.refusesUntil = a.crashedUntil
+			a.refusesUntil = laterOf(a.refusesUntil, a.crashedUntil)
 		},
 	}, a.world.now)
 }
@@ -53,6 +53,14 @@
 	})
 }
 
+// refuseConnections makes the minion's port refuse connections until a time. Requests
+// in flight fail at once; the minion and its runs are not affected.
+func (a *agentNode) refuseConnections(until time.Time) {
+	a.refusesUntil = laterOf(a.refusesUntil, until)
+	a.resets++
+	a.releaseDelayed()
+}
+
 // labels returns the labels of the agent's minion.
 func (a *agentNode) labels() []string {
 	if len(a.world.day.Labels) == 0 {
@@ -83,10 +91,15 @@
 // end.
 func (a *agentNode) onRunChange() {
 	a.world.after(0, func() {
-		if release := a.releaseRenewal; release != nil {
-			a.releaseRenewal = nil
-			release()
-		}
+		a.releaseDelayed()
 		a.scheduleNextEnd()
 	})
 }
+
+// releaseDelayed sends the response to the renewal that the minion delays, if any.
+func (a *agentNode) releaseDelayed() {
+	if release := a.releaseRenewal; release != nil {
+		a.releaseRenewal = nil
+		release()
+	}
+}
--- a/rehearser/orders.go
+++ b/rehearser/orders.go
@@ -25,13 +25,18 @@
 // if there is no answer.
 // refusal is delivered if nothing listens at the minion's address.
 func (a *agentNode) sendOrder(timeout time.Duration, perform func(m *emulator.LeasedMinion, leaseDelay time.Duration) supervisor.Event, timeoutEvent, refusal supervisor.Event) {
-	incarnation, minion := a.incarnation, a.minion
+	incarnation, minion, resets := a.incarnation, a.minion, a.resets
 	answer := func(ev supervisor.Event) {
 		if a.incarnation == incarnation {
 			a.deliver(ev)
 		}
 	}
-	if a.world.random.Float64() < a.world.day.LostAnswerShare {
+	loses := a.world.random.Float64() < a.world.day.LostAnswerShare
+	if a.world.now.Before(a.refusesUntil) {
+		a.world.after(orderDelay, func() { answer(refusal) })
+		return
+	}
+	if loses {
 		shortest, longest := cmp.Or(a.world.day.MinLateDelay, minLateDelay), cmp.Or(a.world.day.MaxLateDelay, maxLateDelay)
 		delay := shortest + time.Duration(a.world.random.Int64N(int64(longest-shortest)))
 		leaseDelay := time.Duration(0)
@@ -48,21 +53,22 @@
 		a.world.after(timeout, func() { answer(timeoutEvent) })
 		return
 	}
-	if a.world.now.Before(a.refusesUntil) {
-		a.world.after(orderDelay, func() { answer(refusal) })
-		return
-	}
 	if a.world.now.Before(a.unreachableUntil) || a.world.now.Before(a.crashedUntil) {
 		a.world.after(timeout, func() { answer(timeoutEvent) })
 		return
 	}
 	a.world.after(orderDelay, func() {
-		if a.minion != minion || a.world.now.Before(a.crashedUntil) {
+		if a.minion != minion || a.world.now.Before(a.crashedUntil) || a.resets != resets {
 			answer(timeoutEvent)
 			return
 		}
 		if ev := perform(minion, 0); ev != nil {
-			a.world.after(orderDelay, func() { answer(ev) })
+			a.world.after(orderDelay, func() {
+				if a.resets != resets {
+					ev = timeoutEvent
+				}
+				answer(ev)
+			})
 		}
 	})
 }
@@ -114,17 +120,18 @@
 		if listed := ev.(supervisor.RunsListed); len(listed.Ended) > 0 || c.Wait == 0 {
 			return ev
 		}
-		released := false
+		released, resets := false, a.resets
 		release := func() {
 			if released || a.incarnation != incarnation || a.minion != minion {
 				return
 			}
 			released = true
 			ev := listRuns(m)
-			if a.world.now.Before(a.refusesUntil) {
-				ev = supervisor.RenewalFailed{ListOnly: c.ListOnly}
-			}
+			refuses := a.world.now.Before(a.refusesUntil)
 			a.world.after(orderDelay, func() {
+				if refuses || a.resets != resets {
+					ev = supervisor.RenewalFailed{ListOnly: c.ListOnly}
+				}
 				if a.incarnation == incarnation {
 					a.deliver(ev)
 				}
--- /dev/null
+++ b/rehearser/refusing_test.go
@@ -0,0 +1,57 @@
+package rehearser_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"agatevalve/common/work"
+	"agatevalve/rehearser"
+)
+
+// busyDay returns a day of short and long tasks on four minions.
+func busyDay(seed uint64) rehearser.Day {
+	return rehearser.Day{
+		Seed: seed, Length: 6 * time.Second, Entries: 2, Room: work.Room{CPU: 8000, Memory: 65536}, DurationFactors: []float64{1, 1, 1, 1},
+		Routes: []rehearser.Route{
+			{Name: "short", JobsPerSecond: 20, Tasks: 4, Work: 60 * time.Millisecond, CPU: 800, Worth: 1},
+			{Name: "long", JobsPerSecond: 8, Tasks: 3, Work: 500 * time.Millisecond, CPU: 800, Worth: 1},
+		},
+	}
+}
+
+// withFaults adds a fault of each minion in turn at an interval. Their durations
+// take the given ones in turn.
+func withFaults(day rehearser.Day, kind rehearser.FaultKind, interval time.Duration, durations ...time.Duration) rehearser.Day {
+	n := 0
+	for at := 500 * time.Millisecond; at < day.Length; at += interval {
+		day.Faults = append(day.Faults, rehearser.Fault{Kind: kind, At: at, For: durations[n%len(durations)], Minion: n})
+		n++
+	}
+	return day
+}
+
+// checkDays checks that no guarantee is violated on the days of seeds 0 to 7, and
+// that they start many runs.
+func checkDays(t *testing.T, day func(seed uint64) rehearser.Day) {
+	t.Helper()
+	is := is.New(t)
+	for seed := range uint64(8) {
+		result := rehearser.Play(day(seed))
+		t.Logf("seed %d: %d starts, %d wasted, worth %.3f, %d violations", seed, result.Starts, result.Wasted, result.Worth, len(result.Violations))
+		is.True(result.Starts >= 100)
+		if len(result.Violations) > 0 {
+			t.Errorf("seed %d: %s", seed, strings.Join(result.Violations, "\n"))
+		}
+	}
+}
+
+// A connection that is refused doesn't prove that the runs have ended.
+func TestRefusingMinionsRunNothingTwice(t *testing.T) {
+	t.Parallel()
+	checkDays(t, func(seed uint64) rehearser.Day {
+		return withFaults(busyDay(seed), rehearser.RefuseMinion, 300*time.Millisecond, 5*time.Millisecond, 150*time.Millisecond, 1500*time.Millisecond)
+	})
+}
--- a/rehearser/rehearser.go
+++ b/rehearser/rehearser.go
@@ -167,9 +167,12 @@
 	crashedUntil time.Time
 	// lastReport is the sequence number of the minion's last status report.
 	lastReport uint64
-	// refusesUntil is the end of a period in which the VM of a crashed minion
-	// refuses connections. After other crashes orders get no answer.
+	// refusesUntil is the end of a period in which the minion's port refuses
+	// connections. While a minion is down and its port doesn't refuse, orders get no
+	// answer.
 	refusesUntil time.Time
+	// resets counts the times at which all connections to the minion failed.
+	resets int
 	// releaseRenewal sends the response to a renewal that the minion delays;
 	// nil for none.
 	releaseRenewal func()
