rehearser: Start minions again under their names

The rehearsal gave each incarnation of a minion a name of its own, so that no order could reach the next one. Change: the fault restart-minion: the minion crashes and starts again under its name after the fault's duration, in which connections are refused. What the crashed one had received ends with it, also what it would have executed late.

--- a/rehearser/agent.go
+++ b/rehearser/agent.go
@@ -17,7 +17,7 @@
 // newAgentNode returns an agent whose minion has started; the agent itself is
 // started by startProcess.
 func newAgentNode(w *world, index int) *agentNode {
-	a := &agentNode{index: index}
+	a := &agentNode{index: index, minionNames: 1}
 	a.world, a.process = w, a.stepCore
 	a.startMinion()
 	return a
--- a/rehearser/day.go
+++ b/rehearser/day.go
@@ -91,6 +91,9 @@
 	MinLateDelay, MaxLateDelay time.Duration
 	// LateLeasesCount makes the lease in a late order count from its arrival.
 	LateLeasesCount bool
+	// HeldOrderShare is the fraction of orders that the network holds for up to maxHold
+	// before they reach the minion that then has the name.
+	HeldOrderShare float64
 	// AgentRestartDelay is the time from the kill of an agent process to its
 	// restart; 0 for the default of 800 ms, by when the leases have expired.
 	AgentRestartDelay time.Duration
@@ -151,6 +154,8 @@
 	// RefuseMinion makes the port of a minion refuse connections while its runs go
 	// on.
 	RefuseMinion FaultKind = "refuse-minion"
+	// RestartMinion crashes a minion, which starts again under its name.
+	RestartMinion FaultKind = "restart-minion"
 	// ShrinkMinion halves the capacity of a minion.
 	ShrinkMinion FaultKind = "shrink-minion"
 	// EvacuateZone evacuates the zone of a minion.
--- a/rehearser/faults.go
+++ b/rehearser/faults.go
@@ -54,6 +54,8 @@
 		a.unreachableUntil = w.now.Add(f.For)
 	case RefuseMinion:
 		a.refuseConnections(w.now.Add(f.For))
+	case RestartMinion:
+		a.restartMinion(f.For)
 	}
 }
 
--- a/rehearser/minion.go
+++ b/rehearser/minion.go
@@ -8,14 +8,15 @@
 	"agatevalve/emulator"
 )
 
-// startMinion replaces the minion by a new incarnation. Runs of the previous
-// one are lost.
+// startMinion replaces the minion by a new incarnation under the current name. Runs of
+// the previous one are lost.
 func (a *agentNode) startMinion() {
 	if a.minion != nil {
 		a.minion.Crash(a.world.now)
 	}
 	a.minionIncarnation++
-	name := fmt.Sprintf("minion-%02d-%d", a.index, a.minionIncarnation)
+	a.minionEnded = false
+	name := fmt.Sprintf("minion-%02d-%d", a.index, a.minionNames)
 	a.minion = emulator.NewLeasedMinion(emulator.LeasedOptions{
 		Minion:         work.Minion{Name: name, Incarnation: uint64(a.minionIncarnation), Service: serviceName, Zone: a.world.zoneOf(a.index), Room: a.world.day.Room, Labels: a.labels()},
 		DurationFactor: a.world.day.DurationFactors[a.index], MaxLease: maxLease, IgnoreLeaseExpiry: a.world.day.IgnoreLeaseExpiry, AllowOvercommit: a.world.day.AllowOvercommit,
@@ -39,14 +40,30 @@
 	}, a.world.now)
 }
 
-// crash ends the minion and all its runs, and starts it again after a time.
-func (a *agentNode) crash(downtime time.Duration) {
+// crash ends the minion and all its runs, and starts another one after a time.
+func (a *agentNode) crash(downtime time.Duration) { a.replaceMinion(downtime, 1) }
+
+// restartMinion ends the minion and all its runs, and starts it again under its name
+// after a time, for which its port refuses connections.
+func (a *agentNode) restartMinion(downtime time.Duration) {
+	if a.world.now.Before(a.crashedUntil) {
+		return
+	}
+	a.minionEnded = true
+	a.replaceMinion(downtime, 0)
+	a.refuseConnections(a.crashedUntil)
+}
+
+// replaceMinion ends the minion and all its runs, and starts the next incarnation
+// after a time, with a number of new names.
+func (a *agentNode) replaceMinion(downtime time.Duration, names int) {
 	a.minion.Crash(a.world.now)
 	if restart := a.world.now.Add(downtime); restart.After(a.crashedUntil) {
 		a.crashedUntil = restart
 	}
 	a.world.after(downtime, func() {
 		if !a.world.now.Before(a.crashedUntil) { // A later crash may last longer.
+			a.minionNames += names
 			a.startMinion()
 			a.sendStatus() // A minion registers when it starts.
 		}
--- a/rehearser/refusing_test.go
+++ b/rehearser/refusing_test.go
@@ -55,3 +55,20 @@
 		return withFaults(busyDay(seed), rehearser.RefuseMinion, 300*time.Millisecond, 5*time.Millisecond, 150*time.Millisecond, 1500*time.Millisecond)
 	})
 }
+
+// A start that was under way is not carried out beside the run that replaced it.
+func TestRestartedMinionsRunNothingTwice(t *testing.T) {
+	t.Parallel()
+	for _, day := range []struct {
+		name       string
+		lost, held float64
+	}{{"alone", 0, 0}, {"beside unanswered orders", 0.1, 0}, {"beside held orders", 0, 0.2}, {"beside both", 0.1, 0.2}} {
+		t.Run(day.name, func(t *testing.T) {
+			checkDays(t, func(seed uint64) rehearser.Day {
+				d := withFaults(busyDay(seed), rehearser.RestartMinion, 150*time.Millisecond, 3*time.Millisecond, 40*time.Millisecond, 150*time.Millisecond, 800*time.Millisecond)
+				d.LostAnswerShare, d.MinLateDelay, d.MaxLateDelay, d.HeldOrderShare = day.lost, 100*time.Millisecond, 6*time.Second, day.held
+				return d
+			})
+		})
+	}
+}
--- a/rehearser/rehearser.go
+++ b/rehearser/rehearser.go
@@ -158,8 +158,12 @@
 	// latestEndTimer numbers the timers for the next end of a run; older ones
 	// are ignored.
 	latestEndTimer int
-	// minionIncarnation counts the starts of the minion.
-	minionIncarnation int
+	// minionIncarnation counts the starts of the minion, and minionNames the names
+	// that it has had.
+	minionIncarnation, minionNames int
+	// minionEnded is true from a restart on until the next incarnation starts. A
+	// minion that has ended executes no order late.
+	minionEnded bool
 	// unreachableUntil is the end of a period in which orders to the minion are
 	// lost.
 	unreachableUntil time.Time
