rehearser: Let minions depart that run on for a while

An announced departure was not rehearsed: no agent node got the event MinionDeparted. Change: the fault depart-minion: the minion drains, announces its departure 20 ms later and ends the fault's duration after that. Its runs go on until then, and it answers. Half a second later another minion follows; connections are refused in between.

--- a/rehearser/day.go
+++ b/rehearser/day.go
@@ -156,6 +156,9 @@
 	RefuseMinion FaultKind = "refuse-minion"
 	// RestartMinion crashes a minion, which starts again under its name.
 	RestartMinion FaultKind = "restart-minion"
+	// DepartMinion makes a minion drain and announce its departure, and ends it and
+	// its runs Fault.For after that. Another minion follows.
+	DepartMinion FaultKind = "depart-minion"
 	// ShrinkMinion halves the capacity of a minion.
 	ShrinkMinion FaultKind = "shrink-minion"
 	// EvacuateZone evacuates the zone of a minion.
--- a/rehearser/faults.go
+++ b/rehearser/faults.go
@@ -56,6 +56,8 @@
 		a.refuseConnections(w.now.Add(f.For))
 	case RestartMinion:
 		a.restartMinion(f.For)
+	case DepartMinion:
+		a.departMinion(f.For)
 	}
 }
 
--- a/rehearser/minion.go
+++ b/rehearser/minion.go
@@ -6,6 +6,7 @@
 
 	"agatevalve/common/work"
 	"agatevalve/emulator"
+	"agatevalve/supervisor"
 )
 
 // startMinion replaces the minion by a new incarnation under the current name. Runs of
@@ -54,6 +55,30 @@
 	a.refuseConnections(a.crashedUntil)
 }
 
+// departMinion drains the minion and announces its departure. The minion ends a time
+// after that, with all its runs, and then its port refuses connections until another
+// one starts.
+func (a *agentNode) departMinion(ending time.Duration) {
+	if a.world.now.Before(a.crashedUntil) {
+		return
+	}
+	minion := a.minion
+	minion.Drain()
+	a.sendStatus()
+	a.world.after(drainDelay, func() {
+		if a.minion == minion && !a.world.now.Before(a.crashedUntil) {
+			a.deliver(supervisor.MinionDeparted{Name: minion.Describe().Name})
+		}
+	})
+	a.world.after(drainDelay+ending, func() {
+		if a.minion == minion && !a.world.now.Before(a.crashedUntil) {
+			a.minionEnded = true
+			a.replaceMinion(departureDowntime, 1)
+			a.refuseConnections(a.crashedUntil)
+		}
+	})
+}
+
 // replaceMinion ends the minion and all its runs, and starts the next incarnation
 // after a time, with a number of new names.
 func (a *agentNode) replaceMinion(downtime time.Duration, names int) {
--- a/rehearser/refusing_test.go
+++ b/rehearser/refusing_test.go
@@ -72,3 +72,11 @@
 		})
 	}
 }
+
+// The announcement of a departure doesn't prove that the runs have ended.
+func TestDepartingMinionsRunNothingTwice(t *testing.T) {
+	t.Parallel()
+	checkDays(t, func(seed uint64) rehearser.Day {
+		return withFaults(busyDay(seed), rehearser.DepartMinion, 300*time.Millisecond, 5*time.Millisecond, 100*time.Millisecond, 300*time.Millisecond)
+	})
+}
--- a/rehearser/rehearser.go
+++ b/rehearser/rehearser.go
@@ -43,6 +43,10 @@
 	// crashes, and crashDowntime the time until the minion is back.
 	crashDelay    = 15 * time.Millisecond
 	crashDowntime = 3200 * time.Millisecond
+	// drainDelay is the time from the drain of a minion that departs to its
+	// announcement, and departureDowntime that from its end to the next minion.
+	drainDelay        = 20 * time.Millisecond
+	departureDowntime = 500 * time.Millisecond
 	// minDeadlyWork is the least work of a deadly task, which would otherwise be
 	// done on a fast minion before it crashes it.
 	minDeadlyWork = 60 * time.Millisecond
@@ -161,7 +165,7 @@
 	// minionIncarnation counts the starts of the minion, and minionNames the names
 	// that it has had.
 	minionIncarnation, minionNames int
-	// minionEnded is true from a restart on until the next incarnation starts. A
+	// minionEnded is true from a restart or the end of a departure on until the next incarnation starts. A
 	// minion that has ended executes no order late.
 	minionEnded bool
 	// unreachableUntil is the end of a period in which orders to the minion are
