--- a/rehearser/refusing_test.go
+++ b/rehearser/refusing_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"agatevalve/common/work"
 	"agatevalve/rehearser"
@@ -80,3 +81,36 @@
 		return withFaults(busyDay(seed), rehearser.DepartMinion, 300*time.Millisecond, 5*time.Millisecond, 100*time.Millisecond, 300*time.Millisecond)
 	})
 }
+
+// drawPortFaults adds one to six faults of a kind, which last up to 800 ms, or up to
+// 300 ms for departures.
+func drawPortFaults(t *rapid.T, day rehearser.Day, kind rehearser.FaultKind) rehearser.Day {
+	longest := 800
+	if kind == rehearser.DepartMinion {
+		longest = 300
+	}
+	for range rapid.IntRange(1, 6).Draw(t, "port faults") {
+		day.Faults = append(day.Faults, rehearser.Fault{
+			Kind:   kind,
+			At:     time.Duration(rapid.IntRange(100, 4000).Draw(t, "port fault at")) * time.Millisecond,
+			For:    time.Duration(rapid.IntRange(2, longest).Draw(t, "port fault for")) * time.Millisecond,
+			Minion: rapid.IntRange(0, 4).Draw(t, "port fault minion"),
+		})
+	}
+	return day
+}
+
+// Guards against port faults that combine with others to a violation.
+func TestRandomDaysOfPortFaultsCauseNoViolation(t *testing.T) {
+	t.Parallel()
+	for _, kind := range []rehearser.FaultKind{rehearser.RefuseMinion, rehearser.RestartMinion, rehearser.DepartMinion} {
+		t.Run(string(kind), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				day := drawPortFaults(t, drawDay(t), kind)
+				if result := rehearser.Play(day); len(result.Violations) > 0 {
+					t.Fatalf("%+v\n%s", day, strings.Join(result.Violations, "\n"))
+				}
+			})
+		})
+	}
+}
--- a/rehearser/rehearser_test.go
+++ b/rehearser/rehearser_test.go
@@ -47,7 +47,7 @@
 	kinds := []rehearser.FaultKind{
 		rehearser.KillEntry, rehearser.KillAgent, rehearser.FreezeEntry, rehearser.FreezeAgent, rehearser.CutLink,
 		rehearser.CrashMinion, rehearser.SlowMinion, rehearser.StallMinion, rehearser.FailMinion, rehearser.DrainMinion,
-		rehearser.CutMinion, rehearser.ShrinkMinion,
+		rehearser.CutMinion, rehearser.ShrinkMinion, rehearser.RefuseMinion, rehearser.RestartMinion, rehearser.DepartMinion,
 	}
 	for i, kind := range kinds {
 		t.Run(string(kind), func(t *testing.T) {
