--- a/rehearser/rehearser.go
+++ b/rehearser/rehearser.go
@@ -43,6 +43,10 @@
 	// crashes, and crashDowntime the time until the minion is back.
 	crashDelay    = 15 * time.Millisecond
 	crashDowntime = 3200 * time.Millisecond
+	// drainDelay is the time from the drain of a minion that departs to its
+	// announcement, and departureDowntime that from its end to the next minion.
+	drainDelay        = 20 * time.Millisecond
+	departureDowntime = 500 * time.Millisecond
 	// minDeadlyWork is the least work of a deadly task, which would otherwise be
 	// done on a fast minion before it crashes it.
 	minDeadlyWork = 60 * time.Millisecond
@@ -158,8 +162,12 @@
 	// latestEndTimer numbers the timers for the next end of a run; older ones
 	// are ignored.
 	latestEndTimer int
-	// minionIncarnation counts the starts of the minion.
-	minionIncarnation int
+	// minionIncarnation counts the starts of the minion, and minionNames the names
+	// that it has had.
+	minionIncarnation, minionNames int
+	// minionEnded is true from a restart or the end of a departure on until the next incarnation starts. A
+	// minion that has ended executes no order late.
+	minionEnded bool
 	// unreachableUntil is the end of a period in which orders to the minion are
 	// lost.
 	unreachableUntil time.Time
@@ -167,9 +175,12 @@
 	crashedUntil time.Time
 	// lastReport is the sequence number of the minion's last status report.
 	lastReport uint64
-	// refusesUntil is the end of a period in which the VM of a crashed minion
-	// refuses connections. After other crashes orders get no answer.
+	// refusesUntil is the end of a period in which the minion's port refuses
+	// connections. While a minion is down and its port doesn't refuse, orders get no
+	// answer.
 	refusesUntil time.Time
+	// resets counts the times at which all connections to the minion failed.
+	resets int
 	// releaseRenewal sends the response to a renewal that the minion delays;
 	// nil for none.
 	releaseRenewal func()
