supervisor: Keep the runs of a departing minion until it has ended

What callers would see: a task that runs twice while its minion leaves.

Cause: the same class as the refused connections. An agent took the announcement of a departure for the end of the minion's runs, reported them as lost and stopped asking, while the minion ran on until it ended.

Change: the runs are lost once their lease has lapsed, or another minion answers or reports. The lease isn't renewed any more. The agent still asks for lists, so that a run which is done before the minion ends is reported so, and still sends stops.

--- a/supervisor/core.go
+++ b/supervisor/core.go
@@ -297,7 +297,7 @@
 		if r.phase != uncertain && r.phase != stopping {
 			continue
 		}
-		if now.Before(r.nextStopAt) || !c.minion.known() {
+		if now.Before(r.nextStopAt) || c.minion.Name == "" {
 			continue
 		}
 		r.stopSent, r.nextStopAt = true, now.Add(c.answerTime.timeout())
--- a/supervisor/crashes.go
+++ b/supervisor/crashes.go
@@ -61,10 +61,10 @@
 }
 
 // loseLapsedRuns ends the runs of a minion whose lease has lapsed. One that refused
-// connections until then counts as crashed, another one only if a later incarnation
-// follows.
+// connections until then counts as crashed, and one that announced its departure as
+// gone. Another one counts as crashed only if a later incarnation follows.
 func (c *Core) loseLapsedRuns(now time.Time) {
-	if !c.minion.refusingSince.IsZero() {
+	if !c.minion.refusingSince.IsZero() || c.minion.departed {
 		c.loseRunsInCrash(now)
 		return
 	}
--- a/supervisor/events.go
+++ b/supervisor/events.go
@@ -349,11 +349,12 @@
 	c.emit(ReportMinion{Entry: e.name, Minion: c.minion.Minion, Usable: c.minion.usable(), Leaving: leaving})
 }
 
+// apply refuses the queued runs. The others go on until the minion has ended: they are
+// lost once their lease, which is renewed no more, has lapsed or another minion is known.
 func (ev MinionDeparted) apply(c *Core, now time.Time) {
 	if ev.Name != c.minion.Name || c.minion.departed {
 		return
 	}
-	c.loseRuns(now, "the minion has left")
 	c.refuseQueued(now, work.ReasonLeaving)
 	c.minion.departed = true
 	c.reportMinion()
--- a/supervisor/scheduling.go
+++ b/supervisor/scheduling.go
@@ -136,7 +136,7 @@
 			FencingToken: c.fencing.token,
 		})
 	}
-	if m.renewalInFlight || !m.known() || now.Before(m.nextRenewalAt) {
+	if m.renewalInFlight || !m.known() && len(c.runs) == 0 || now.Before(m.nextRenewalAt) {
 		return
 	}
 	m.renewalInFlight = true
@@ -144,7 +144,9 @@
 		Minion: m.Name, Incarnation: m.Incarnation, Acked: m.ackableEnd(), AnswerTimeout: c.answerTime.timeout(), FencingToken: c.fencing.token,
 	}
 	if m.reconciled && len(m.orphans) == 0 && now.Sub(m.lastAnswerAt) <= maxAnswerAge {
-		command.LeaseExpiry = m.extendLease(now, c.options.Lease)
+		if m.known() {
+			command.LeaseExpiry = m.extendLease(now, c.options.Lease)
+		}
 		command.Wait = idleRenewalWait
 		if len(c.runs) > 0 {
 			command.Wait = c.options.RenewalWait
