supervisor: Fence off orders for the last incarnation of a minion

What callers would see: a task that runs twice after its minion has restarted under its name.

Cause: a start that had no answer was stopped, and the stop confirmed, so its run was reported as not started. The minion's memory of that stop ends with its incarnation. A start that the network held reaches the next one, since orders name the minion and not its incarnation.

TestRestartedMinionRefusesOrdersForTheLastIncarnation failed before.

Change: an agent that learns of the next incarnation under the same name raises its fencing token, and asks for lists with it at once, also beside a renewal that is under way. Nothing starts before they are answered. An order that arrives before that still starts; the agent then stops it as one that belongs to no entry.

The tests of incarnations send the token of the request that they answer, as minions do.

--- a/supervisor/events.go
+++ b/supervisor/events.go
@@ -313,6 +313,7 @@
 	var moved []*run
 	if m.Name == c.minion.Name {
 		moved = c.moveRuns(now, listed)
+		c.fenceLastIncarnation()
 	}
 	c.loseRunsInCrash(now, moved...)
 	c.refuseQueued(now, work.ReasonUnreachable)
--- a/supervisor/fencing.go
+++ b/supervisor/fencing.go
@@ -32,6 +32,16 @@
 	return fencing{token: min(max(token, 0), maxFencingToken)}
 }
 
+// fenceLastIncarnation raises the token, since the next incarnation of a minion has seen
+// none. Once it has answered, it refuses the orders for the last one that are still
+// under way.
+func (c *Core) fenceLastIncarnation() {
+	if c.fencing.token < maxFencingToken {
+		c.fencing.token++
+		c.fencing.raises++
+	}
+}
+
 // answered records that the minion has carried out a request with a token.
 func (f *fencing) answered(token int64) {
 	if token == f.token {
--- a/supervisor/fencing_test.go
+++ b/supervisor/fencing_test.go
@@ -70,3 +70,31 @@
 	b.step(supervisor.RunsListed{Incarnation: 1, FencingToken: last, RequestedAt: b.now})
 	is.True(find[supervisor.ReportMinion](b.commands)[0].Usable)
 }
+
+// Guards against two runs of a task: the minion restarted under its name, and a start
+// that the last incarnation had been told to forget reached the next one.
+func TestRestartedMinionRefusesOrdersForTheLastIncarnation(t *testing.T) {
+	for name, ev := range map[string]supervisor.Event{
+		"it reports": supervisor.MinionDescribed{Minion: minion(2)},
+		"it answers": supervisor.RunsListed{Incarnation: 2, Clock: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench()
+			before := find[supervisor.StartRun](b.step(b.order("a", 1000)))[0].FencingToken
+			lists := find[supervisor.RenewLease](b.step(ev)) // At once, beside a renewal to the last incarnation.
+			is.Equal(len(lists), 1)
+			is.True(lists[0].FencingToken > before)
+			is.Equal(lists[0].LeaseExpiry, time.Duration(0))
+			b.step(described(2, 1, nil))
+			is.Equal(len(find[supervisor.StartRun](b.step(b.order("b", 1000)))), 0)
+			b.listOf(2)
+			b.step(supervisor.StopAnswered{Run: run("a"), Incarnation: 2, Answered: true})
+			b.step()
+			b.listOf(2)
+			starts := find[supervisor.StartRun](b.step(b.order("c", 1000)))
+			is.Equal(len(starts), 1)
+			is.Equal(starts[0].FencingToken, lists[0].FencingToken)
+		})
+	}
+}
--- a/supervisor/incarnation_test.go
+++ b/supervisor/incarnation_test.go
@@ -30,7 +30,7 @@
 
 // listOf steps the core with an empty list of an incarnation.
 func (b *bench) listOf(incarnation uint64) []supervisor.Command {
-	return b.step(supervisor.RunsListed{Incarnation: incarnation, RequestedAt: b.now, Clock: time.Second})
+	return b.step(supervisor.RunsListed{FencingToken: b.token, Incarnation: incarnation, RequestedAt: b.now, Clock: time.Second})
 }
 
 // Guards against starts at a draining minion: its reports were taken for late ones,
@@ -153,7 +153,7 @@
 			}
 			out := b.step(supervisor.RunsListed{Incarnation: 2, RequestedAt: b.now, Clock: time.Second, Running: listed})
 			is.Equal(len(ends(out)), 0)
-			is.Equal(find[supervisor.StopRun](out), []supervisor.StopRun{{Run: run("a"), Incarnation: 2}})
+			is.Equal(find[supervisor.StopRun](out), []supervisor.StopRun{{Run: run("a"), Incarnation: 2, FencingToken: 1}})
 			b.step(supervisor.StopAnswered{Run: run("a"), Incarnation: 2, Answered: true})
 			b.step()
 			lost := ends(b.listOf(2))
@@ -191,5 +191,5 @@
 	out := b.step(described(2, 1, nil))
 	is.Equal(len(ends(out)), 1)
 	is.Equal(ends(out)[0].Run, run("before"))
-	is.Equal(find[supervisor.StopRun](out), []supervisor.StopRun{{Run: run("after"), Incarnation: 2}})
+	is.Equal(find[supervisor.StopRun](out), []supervisor.StopRun{{Run: run("after"), Incarnation: 2, FencingToken: 1}})
 }
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -18,6 +18,8 @@
 	core     *supervisor.Core
 	now      time.Time
 	commands []supervisor.Command
+	// token is the fencing token of the last request for lists.
+	token int64
 }
 
 // newBench returns a core with a reconciled minion of ten cores and a linked
@@ -38,6 +40,9 @@
 func (b *bench) step(events ...supervisor.Event) []supervisor.Command {
 	b.now = b.now.Add(time.Millisecond)
 	b.commands = b.core.Step(b.now, events)
+	for _, c := range find[supervisor.RenewLease](b.commands) {
+		b.token = c.FencingToken
+	}
 	return b.commands
 }
 
@@ -54,7 +59,9 @@
 
 // list steps the core with the minion's answer to a renewal.
 func (b *bench) list(running []supervisor.ListedRun, ended []supervisor.ListedEnd) []supervisor.Command {
-	return b.step(supervisor.RunsListed{Incarnation: 1, RequestedAt: b.now, Clock: b.now.Sub(time.Unix(1_799_999_000, 0)), Running: running, Ended: ended})
+	return b.step(supervisor.RunsListed{
+		FencingToken: b.token, Incarnation: 1, RequestedAt: b.now, Clock: b.now.Sub(time.Unix(1_799_999_000, 0)), Running: running, Ended: ended,
+	})
 }
 
 // order returns a frame with one order.
@@ -213,7 +220,7 @@
 	is := is.New(t)
 	b := newBench()
 	b.step(supervisor.MinionDescribed{Minion: minion(2)})
-	b.step(supervisor.RunsListed{Incarnation: 2, RequestedAt: b.now, Clock: time.Second})
+	b.listOf(2)
 	b.step(supervisor.MinionDescribed{Minion: minion(1)})
 	is.Equal(len(find[supervisor.StartRun](b.step(b.order("a", 1000)))), 1)
 }
