--- a/supervisor/scheduling.go
+++ b/supervisor/scheduling.go
@@ -140,25 +140,33 @@
 		return
 	}
 	m.renewalInFlight = true
+	c.emit(c.renewal(now))
+}
+
+// renewal returns the next renewal. It extends no lease while the minion is silent or
+// runs something of an earlier agent process, or after its departure.
+func (c *Core) renewal(now time.Time) RenewLease {
+	m := &c.minion
 	command := RenewLease{
 		Minion: m.Name, Incarnation: m.Incarnation, Acked: m.ackableEnd(), AnswerTimeout: c.answerTime.timeout(), FencingToken: c.fencing.token,
 	}
-	if m.reconciled && len(m.orphans) == 0 && now.Sub(m.lastAnswerAt) <= maxAnswerAge {
-		if m.known() {
-			command.LeaseExpiry = m.extendLease(now, c.options.Lease)
-		}
-		command.Wait = idleRenewalWait
-		if len(c.runs) > 0 {
-			command.Wait = c.options.RenewalWait
-		}
-		if now.Sub(c.lastUnansweredAt) < shortRenewalPeriod {
-			command.Wait = min(command.Wait, shortRenewalWait)
-		}
-		if c.fencing.raises > 0 {
-			command.Wait = 0 // Queued runs wait for the answer.
-		}
+	if !m.reconciled || len(m.orphans) > 0 || now.Sub(m.lastAnswerAt) > maxAnswerAge {
+		return command
+	}
+	if m.known() {
+		command.LeaseExpiry = m.extendLease(now, c.options.Lease)
+	}
+	command.Wait = idleRenewalWait
+	if len(c.runs) > 0 {
+		command.Wait = c.options.RenewalWait
+	}
+	if now.Sub(c.lastUnansweredAt) < shortRenewalPeriod {
+		command.Wait = min(command.Wait, shortRenewalWait)
+	}
+	if c.fencing.raises > 0 {
+		command.Wait = 0 // Queued runs wait for the answer.
 	}
-	c.emit(command)
+	return command
 }
 
 // needsNewerList reports whether a stopped run may never have started, a run may
