scheduler: Forget the crash of a minion that is usable at the next link

An entry whose link was closed while its agent withdrew a crash kept the suspicion for up to a minute: jobs of its runs on probation, the minion counted as crashed lately. A minion that is usable hasn't crashed in its present incarnation, so the first frame of a link settles it.

TestCrashOfAMinionThatIsUsableAtTheNextLinkIsForgotten failed before.

--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -125,6 +125,9 @@
 	}
 	a.link, a.disconnectedAt, a.load, a.zonesVersion = ev.Link, time.Time{}, ev.Load.Bounded(), 0
 	c.recordCrashes(now, a, ev.Minion.Incarnation, ev.Crashes)
+	if ev.Usable { // The crash may have been withdrawn while no link was open.
+		c.withdrawCrash(a, work.Crash{Minion: ev.Minion.Name, Incarnation: ev.Minion.Incarnation})
+	}
 	c.updateMinion(now, a, ev.Minion, ev.Usable, ev.Leaving)
 	c.observeZones(now, a, ev.Zones)
 	held := make(map[work.Run]bool, len(ev.Reports))
--- a/scheduler/withdrawal_test.go
+++ b/scheduler/withdrawal_test.go
@@ -51,3 +51,17 @@
 	is.Equal(answers[0].Outcome, work.Exhausted)
 	is.Equal(len(commandsOf[scheduler.Place](out)), 0)
 }
+
+// Guards against a suspicion that stays since the link was closed while the crash was
+// withdrawn.
+func TestCrashOfAMinionThatIsUsableAtTheNextLinkIsForgotten(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(1)
+	lost := []work.CrashedRun{{Run: work.Run{Task: work.Task{Job: "other"}, Number: 1}, Route: "r", Age: 20 * time.Millisecond}}
+	b.step(scheduler.Reported{Agent: agent(0), Link: 1, Crashes: []work.Crash{{Minion: minion(0).Name, Incarnation: minion(0).Incarnation, At: b.now, Runs: lost}}})
+	b.step(scheduler.LinkClosed{Agent: agent(0), Link: 1})
+	b.step(scheduler.LinkOpened{Agent: agent(0), Link: 2, Minion: minion(0), Usable: true})
+	placed := commandsOf[scheduler.Place](b.step(b.submission("other", 1)))
+	is.Equal(len(placed), 1)
+	is.Equal(placed[0].Order.Probation, time.Duration(0))
+}
