scheduler: Give up jobs for crashes by the task and the run that were lost

Now a job waits only for the run that was in the crash, and only the loss of the task of the verdict gives it up. A crash is also withdrawn by a report that the minion is usable, in place of the first frame only.

--- a/coupler/coupler_test.go
+++ b/coupler/coupler_test.go
@@ -274,3 +274,20 @@
 	is.NoErr(err)
 	is.True(!known) // An entry that refuses connections runs no job.
 }
+
+func TestCrashesAndTheirWithdrawalsAreTransferred(t *testing.T) {
+	is := is.New(t)
+	p := newLinkPair(t)
+	opened := p.openLink(t, 0)
+	waitFor(t, p.entryEvents, func(scheduler.LinkOpened) bool { return true })
+	lost := []work.CrashedRun{{Run: work.Run{Task: work.Task{Job: "j", Index: 3}, Number: 2}, Route: "r", Age: time.Second, OnProbation: true}}
+	crash := work.Crash{Minion: "m-1", Incarnation: 7, At: time.Now(), Runs: lost}
+	p.client.Send(opened.Entry, supervisor.ReportCrash{Entry: opened.Entry, Crash: crash})
+	got := waitFor(t, p.entryEvents, func(ev scheduler.Reported) bool { return len(ev.Crashes) > 0 }).Crashes[0]
+	is.Equal(got.Runs, lost)
+	is.True(!got.Withdrawn)
+	p.client.Send(opened.Entry, supervisor.ReportCrash{Entry: opened.Entry, Crash: work.Crash{Minion: "m-1", Incarnation: 7, At: crash.At, Withdrawn: true}})
+	got = waitFor(t, p.entryEvents, func(ev scheduler.Reported) bool { return len(ev.Crashes) > 0 && ev.Crashes[0].Withdrawn }).Crashes[0]
+	is.Equal(got.Minion, "m-1")
+	is.Equal(got.Incarnation, uint64(7))
+}
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -125,9 +125,6 @@
 	}
 	a.link, a.disconnectedAt, a.load, a.zonesVersion = ev.Link, time.Time{}, ev.Load.Bounded(), 0
 	c.recordCrashes(now, a, ev.Minion.Incarnation, ev.Crashes)
-	if ev.Usable { // The crash may have been withdrawn while no link was open.
-		c.withdrawCrash(a, work.Crash{Minion: ev.Minion.Name, Incarnation: ev.Minion.Incarnation})
-	}
 	c.updateMinion(now, a, ev.Minion, ev.Usable, ev.Leaving)
 	c.observeZones(now, a, ev.Zones)
 	held := make(map[work.Run]bool, len(ev.Reports))
@@ -250,6 +247,7 @@
 	if !usable {
 		return
 	}
+	c.withdrawCrash(a, work.Crash{Minion: m.Name, Incarnation: m.Incarnation}) // Its agent may have had no link to do so.
 	c.observeReturn(now, a)
 	for _, o := range slices.Clone(c.sortedAgents) {
 		if o.id.Name == a.id.Name && o.id.Incarnation < a.id.Incarnation {
@@ -343,7 +341,7 @@
 // taskReturned handles a run that was refused, stopped or lost. The task waits
 // for another run, or its job is given up if it can't end in time.
 func (c *Core) taskReturned(now time.Time, a *agent, t *task, report work.Report) {
-	if c.condemnLost(now, t.job, report) {
+	if c.condemnLost(now, t, report) {
 		return
 	}
 	if report.State == work.Refused || report.Reason == work.ReasonUnstarted {
--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"agatevalve/attributor"
@@ -39,7 +40,7 @@
 			if v.Kind != attributor.Recurring {
 				c.observeVerdict(now, crash.At, v)
 			}
-			if j := c.jobs[v.Task.Job]; j != nil && !j.isPlaced(v.Task.Index) {
+			if j := c.jobs[v.Task.Job]; j != nil && !j.mayGoOn(a, v.Task, crash) {
 				c.condemn(now, j, v)
 			}
 		}
@@ -57,14 +58,24 @@
 	c.emit(LogMessage{Text: "A crash was withdrawn", Agent: a.id, Attributes: []any{"minion", crash.Minion, "incarnation", crash.Incarnation}})
 }
 
-// condemnLost gives up the job of a run that was lost if there is a verdict on it, and
-// reports whether there is one.
-func (c *Core) condemnLost(now time.Time, j *job, report work.Report) bool {
-	v, condemned := c.attributor.Verdict(j.ID)
-	if report.State != work.Lost || !condemned {
+// mayGoOn reports whether the run of a task that was at an agent's minion in a crash is
+// not known to have ended.
+func (j *job) mayGoOn(a *agent, t work.Task, crash work.Crash) bool {
+	if t.Index < 0 || t.Index >= len(j.tasks) || j.tasks[t.Index].agent != a {
 		return false
 	}
-	c.condemn(now, j, v)
+	run := j.tasks[t.Index].run()
+	return slices.ContainsFunc(crash.Runs, func(r work.CrashedRun) bool { return r.Run == run })
+}
+
+// condemnLost gives up the job of a task whose run was lost if there is a verdict on the
+// task, and reports whether there is one.
+func (c *Core) condemnLost(now time.Time, t *task, report work.Report) bool {
+	v, condemned := c.attributor.Verdict(t.job.ID)
+	if report.State != work.Lost || !condemned || v.Task.Index != t.index {
+		return false
+	}
+	c.condemn(now, t.job, v)
 	return true
 }
 
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -75,11 +75,6 @@
 	}
 }
 
-// isPlaced reports whether an agent has a run of a task.
-func (j *job) isPlaced(index int) bool {
-	return index >= 0 && index < len(j.tasks) && j.tasks[index].agent != nil
-}
-
 // task is one task of a job, with the state of its latest run.
 type task struct {
 	job   *job
