attributor: Drop a verdict with each crash that is withdrawn

A verdict rested on two crashes, but only the withdrawal of the second one removed it. TestWithdrawnEarlierCrashProvesNothing failed before.

--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -56,9 +56,6 @@
 	OnProbation bool
 	At          time.Time
 	Kind        VerdictKind
-
-	// crash is the last crash.
-	crash crashID
 }
 
 // VerdictKind tells what a verdict rests on.
@@ -145,36 +142,34 @@
 	if known, found := a.knownCause(c); found {
 		a.explain(id, known)
 	} else if cause, found := a.findCause(id, c); found {
-		verdicts = append(verdicts, a.decide(now, id, cause, Proved))
+		verdicts = append(verdicts, a.decide(now, cause, Proved))
 		a.addToProfile(cause)
 		for other := range a.suspect(cause.Run.Task).ages {
 			a.explain(other, cause.Run.Task)
 		}
 	} else if cause, found := a.presumeCause(c); found {
-		verdicts = append(verdicts, a.decide(now, id, cause, Presumed))
+		verdicts = append(verdicts, a.decide(now, cause, Presumed))
 		a.explain(id, cause.Run.Task)
 	}
 	for _, r := range c.Runs {
 		if !a.verdicts[r.Run.Job].Kind.Final() && a.suspect(r.Run.Task).crashes >= maxTaskCrashes {
-			verdicts = append(verdicts, a.decide(now, id, r, Recurring))
+			verdicts = append(verdicts, a.decide(now, r, Recurring))
 		}
 	}
 	return verdicts, true
 }
 
 // decide stores the verdict on a run of a crash.
-func (a *Attributor) decide(now time.Time, id crashID, r work.CrashedRun, kind VerdictKind) Verdict {
-	v := Verdict{
-		Task: r.Run.Task, Route: r.Route, Crashes: a.suspect(r.Run.Task).crashes, Age: r.Age, OnProbation: r.OnProbation, At: now, Kind: kind, crash: id,
-	}
+func (a *Attributor) decide(now time.Time, r work.CrashedRun, kind VerdictKind) Verdict {
+	v := Verdict{Task: r.Run.Task, Route: r.Route, Crashes: a.suspect(r.Run.Task).crashes, Age: r.Age, OnProbation: r.OnProbation, At: now, Kind: kind}
 	a.verdictOrder = slices.DeleteFunc(a.verdictOrder, func(job string) bool { return job == r.Run.Job })
 	a.verdicts[r.Run.Job] = v
 	a.verdictOrder = append(a.verdictOrder, r.Run.Job)
 	return v
 }
 
-// Withdraw removes a crash that did not happen, and the verdicts that came with it. It
-// reports whether the crash was known.
+// Withdraw removes a crash that did not happen, and the verdicts on tasks that were lost
+// in it. It reports whether the crash was known.
 func (a *Attributor) Withdraw(minion string, incarnation uint64) bool {
 	id := crashID{minion: minion, incarnation: incarnation}
 	c := a.crashes[id]
@@ -183,7 +178,7 @@
 	}
 	for _, r := range c.Runs {
 		a.forgetSuspect(r.Run.Task, id)
-		if v, found := a.verdicts[r.Run.Job]; found && v.crash == id {
+		if v, found := a.verdicts[r.Run.Job]; found && v.Task == r.Run.Task {
 			delete(a.verdicts, r.Run.Job)
 			a.verdictOrder = slices.DeleteFunc(a.verdictOrder, func(job string) bool { return job == r.Run.Job })
 		}
--- a/attributor/attributor_test.go
+++ b/attributor/attributor_test.go
@@ -155,3 +155,15 @@
 	is.True(isNew) // The minion crashes after all.
 	is.Equal(len(verdicts), 1)
 }
+
+// Guards against a proof by two crashes of which the first did not happen.
+func TestWithdrawnEarlierCrashProvesNothing(t *testing.T) {
+	is := is.New(t)
+	a := attributor.New()
+	a.Record(start, crashed(1, lost("job", 0, 20)))
+	verdicts, _ := a.Record(start, crashed(2, lost("job", 0, 21)))
+	is.Equal(len(verdicts), 1)
+	is.True(a.Withdraw("m-1", 1))
+	_, condemned := a.Verdict("job")
+	is.True(!condemned)
+}
