supervisor: Keep what is to be stopped after a lapse of the lease

A lapse now counts once. Runs of no entry at a minion that doesn't return are forgotten after 1.5 s without an answer; they were stopped for ever since a refused connection no longer ends them.

A test that could spin without an end has a limit now.

--- a/supervisor/core.go
+++ b/supervisor/core.go
@@ -230,6 +230,9 @@
 	if c.minion.hasLapsed(now) {
 		c.loseLapsedRuns(now)
 	}
+	if len(c.minion.orphans) > 0 && now.Sub(c.minion.lastContactAt()) > movedRunTimeout {
+		c.minion.orphans = nil // Their leases have lapsed; a list shows any that is left.
+	}
 	for _, r := range c.copyRuns() {
 		c.expireRun(now, r)
 	}
--- a/supervisor/crashes.go
+++ b/supervisor/crashes.go
@@ -17,8 +17,9 @@
 	// maxCrashNotice is the longest time from the first failed renewal to the notice
 	// of the crash that explains it.
 	maxCrashNotice = 50 * time.Millisecond
-	// movedRunTimeout is the time without an answer of the minion after which a moved
-	// run is lost. It exceeds the longest lease that a minion grants.
+	// movedRunTimeout is the time without an answer of the minion after which moved
+	// runs are lost and orphans forgotten. It exceeds the longest lease that a minion
+	// grants.
 	movedRunTimeout = 1500 * time.Millisecond
 )
 
@@ -64,6 +65,7 @@
 // connections until then counts as crashed, and one that announced its departure as
 // gone. Another one counts as crashed only if a later incarnation follows.
 func (c *Core) loseLapsedRuns(now time.Time) {
+	c.minion.leaseExpiry, c.minion.lapsedAt = 0, time.Time{}
 	if !c.minion.refusingSince.IsZero() || c.minion.departed {
 		c.loseRunsInCrash(now)
 		return
--- a/supervisor/minion.go
+++ b/supervisor/minion.go
@@ -38,7 +38,7 @@
 	clock       time.Duration
 	clockReadAt time.Time
 	// leaseExpiry is the latest lease expiry, on the minion's clock, that the
-	// minion may have received.
+	// minion may have received; 0 for none, or once it has lapsed.
 	leaseExpiry time.Duration
 	// lapsedAt is the time at which the lease was found to have expired; zero while
 	// it has not.
--- a/supervisor/refusing_test.go
+++ b/supervisor/refusing_test.go
@@ -68,6 +68,9 @@
 	is.Equal(len(crashes(out)), 1) // Entries keep deadly work in check meanwhile.
 	is.Equal(len(crashes(out)[0].Runs), 1)
 	for len(ends(out)) == 0 || b.now.Sub(granted) < 10*time.Millisecond {
+		if b.now.Sub(granted) > 5*time.Second {
+			t.Fatal("no run is lost")
+		}
 		out = b.step(supervisor.FrameReceived{Entry: entry, Link: 1}, supervisor.MinionDown{})
 	}
 	is.True(b.now.Sub(granted) > supervisor.DefaultLease)
@@ -79,3 +82,26 @@
 	is.Equal(lost[0].Reason, work.ReasonCrashed)
 	is.Equal(len(ends(b.refuse())), 0)
 }
+
+// Guards against a run of an earlier agent process that goes on: a lapsed lease removed it
+// from what is to be stopped at each step.
+func TestOrphanIsStoppedAfterALapse(t *testing.T) {
+	is := is.New(t)
+	b := newRunningBench()
+	b.refuse()
+	out := b.list([]supervisor.ListedRun{{Run: run("stray")}}, nil)
+	is.Equal(len(find[supervisor.StopRun](out)), 1)
+	is.Equal(find[supervisor.StopRun](out)[0].Run, run("stray"))
+}
+
+// Guards against stops for ever at a minion that doesn't return.
+func TestOrphansOfAMinionThatDoesNotReturnAreForgotten(t *testing.T) {
+	is := is.New(t)
+	b := &bench{core: supervisor.New(supervisor.Options{}), now: time.Unix(1_800_000_000, 0)}
+	b.step(supervisor.MinionDescribed{Minion: minion(1)})
+	b.list([]supervisor.ListedRun{{Run: run("stray")}}, nil)
+	b.refuse()
+	b.refuse()
+	is.Equal(len(find[supervisor.StopRun](b.refuse())), 0)
+	is.True(!b.core.HasTimers())
+}
