supervisor: Ignore late reports of earlier minions beside a departing one

A late report of an earlier minion took the place of one that had announced its departure, and ended its runs at once while they went on. TestLateReportOfAnEarlierMinionLosesNoRunsOfADepartingOne failed before. TestRunOfADepartingMinionIsStopped closes a gap of the tests.

--- a/supervisor/departing_test.go
+++ b/supervisor/departing_test.go
@@ -63,3 +63,28 @@
 	is.Equal(len(done), 1)
 	is.Equal(done[0].State, work.Done)
 }
+
+// Guards against a run that goes on after its caller has left, since its minion is leaving.
+func TestRunOfADepartingMinionIsStopped(t *testing.T) {
+	is := is.New(t)
+	b := newRunningBench()
+	b.step(supervisor.MinionDeparted{Name: "m-1"})
+	stops := find[supervisor.StopRun](b.step(supervisor.FrameReceived{Entry: entry, Link: 1, Stops: []work.Run{run("a")}}))
+	is.Equal(len(stops), 1)
+	is.Equal(stops[0].Run, run("a"))
+}
+
+// Guards against a run that is taken for lost: a late report of an earlier minion counted
+// as the one that follows the departing one.
+func TestLateReportOfAnEarlierMinionLosesNoRunsOfADepartingOne(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	second := minion(2)
+	second.Name = "m-2"
+	b.step(supervisor.MinionDescribed{Minion: second})
+	b.listOf(2)
+	b.step(b.order("a", 1000))
+	b.step(supervisor.StartAnswered{Run: run("a"), Incarnation: 2, Answer: supervisor.StartAccepted})
+	b.step(supervisor.MinionDeparted{Name: "m-2"})
+	is.Equal(len(ends(b.step(supervisor.MinionDescribed{Minion: minion(1)}))), 0)
+}
--- a/supervisor/events.go
+++ b/supervisor/events.go
@@ -253,7 +253,7 @@
 
 func (ev MinionDescribed) apply(c *Core, now time.Time) {
 	m := &c.minion
-	if m.known() && ev.Minion.Incarnation < m.Incarnation {
+	if (m.known() || m.departed && len(c.runs) > 0) && ev.Minion.Incarnation < m.Incarnation {
 		c.ignoreDescription(ev.Minion, "it is of an earlier incarnation")
 		return
 	}
