--- a/rehearser/refusing_test.go
+++ b/rehearser/refusing_test.go
@@ -74,6 +74,16 @@
 	}
 }
 
+// Guards against a held start that reaches the next incarnation before its agent does.
+func TestHeldStartsRunNothingTwiceAfterARestart(t *testing.T) {
+	t.Parallel()
+	checkDays(t, func(seed uint64) rehearser.Day {
+		d := withFaults(busyDay(100+seed), rehearser.RestartMinion, 150*time.Millisecond, 3*time.Millisecond, 40*time.Millisecond, 150*time.Millisecond, 800*time.Millisecond)
+		d.HeldOrderShare = 0.2
+		return d
+	})
+}
+
 // The announcement of a departure doesn't prove that the runs have ended.
 func TestDepartingMinionsRunNothingTwice(t *testing.T) {
 	t.Parallel()
