--- a/scheduler/withdrawal_test.go
+++ b/scheduler/withdrawal_test.go
@@ -11,10 +11,10 @@
 )
 
 // presumeCrash steps the core with the crash of an agent's minion, whose run may go on.
-func (b *testbed) presumeCrash(p scheduler.Place, age time.Duration) []scheduler.Command {
+func (b *testbed) presumeCrash(p scheduler.Place) []scheduler.Command {
 	down := minion(int(p.Link) - 1)
 	return b.step(scheduler.Reported{Agent: p.Agent, Link: p.Link, Minion: &down, Crashes: []work.Crash{{
-		Minion: down.Name, Incarnation: down.Incarnation, At: b.now, Runs: []work.CrashedRun{{Run: p.Order.Run, Route: p.Order.Route, Age: age}},
+		Minion: down.Name, Incarnation: down.Incarnation, At: b.now, Runs: []work.CrashedRun{{Run: p.Order.Run, Route: p.Order.Route, Age: 20 * time.Millisecond}},
 	}}})
 }
 
@@ -36,7 +36,7 @@
 	is := is.New(t)
 	b := newTestbed(5)
 	again := b.crashOnce("a")
-	out := b.presumeCrash(again, 20*time.Millisecond)
+	out := b.presumeCrash(again)
 	is.Equal(len(commandsOf[scheduler.TaskCondemned](out)), 1)
 	is.Equal(len(commandsOf[scheduler.Answer](out))+len(commandsOf[scheduler.Place](out))+len(commandsOf[scheduler.Stop](out)), 0)
 	b.withdraw(again)
@@ -49,7 +49,7 @@
 	is := is.New(t)
 	b := newTestbed(5)
 	again := b.crashOnce("a")
-	out := b.presumeCrash(again, 20*time.Millisecond)
+	out := b.presumeCrash(again)
 	is.Equal(len(commandsOf[scheduler.TaskCondemned](out)), 1)
 	is.Equal(len(commandsOf[scheduler.RouteConfined](out)), 1) // The route is confined at once.
 	out = b.step(scheduler.Reported{Agent: again.Agent, Link: again.Link, Reports: []work.Report{{Run: again.Order.Run, State: work.Lost, Reason: work.ReasonCrashed, Number: 1}}})
@@ -81,7 +81,7 @@
 	placed := commandsOf[scheduler.Place](b.step(b.submission("a", 2)))
 	lost := []work.CrashedRun{{Run: work.Run{Task: placed[0].Order.Run.Task, Number: 9}, Route: "r", Age: 20 * time.Millisecond}}
 	b.step(scheduler.Reported{Agent: agent(4), Link: 5, Crashes: []work.Crash{{Minion: "elsewhere", Incarnation: 1, At: b.now, Runs: lost}}})
-	is.Equal(len(commandsOf[scheduler.TaskCondemned](b.presumeCrash(placed[0], 20*time.Millisecond))), 1)
+	is.Equal(len(commandsOf[scheduler.TaskCondemned](b.presumeCrash(placed[0]))), 1)
 	out := b.step(scheduler.Reported{Agent: placed[1].Agent, Link: placed[1].Link, Reports: []work.Report{{Run: placed[1].Order.Run, State: work.Lost, Number: 1}}})
 	is.Equal(len(commandsOf[scheduler.Answer](out)), 0)
 }
@@ -107,7 +107,7 @@
 	b := newTestbed(1)
 	b.advance(time.Second)
 	started := commandsOf[scheduler.Place](b.step(b.submission("started", 1)))[0]
-	b.presumeCrash(started, 20*time.Millisecond)
+	b.presumeCrash(started)
 	b.withdraw(started)
 	b.advance(time.Second)
 	answers := commandsOf[scheduler.Answer](b.step(b.submission("late", 1)))
--- a/supervisor/events.go
+++ b/supervisor/events.go
@@ -253,7 +253,7 @@
 
 func (ev MinionDescribed) apply(c *Core, now time.Time) {
 	m := &c.minion
-	if (m.known() || m.departed && len(c.runs) > 0) && ev.Minion.Incarnation < m.Incarnation {
+	if c.describesEarlier(ev.Minion) {
 		c.ignoreDescription(ev.Minion, "it is of an earlier incarnation")
 		return
 	}
@@ -284,6 +284,13 @@
 	}
 }
 
+// describesEarlier reports whether a description is of an earlier incarnation. After a
+// departure it may be of the minion that follows, since numbers go by the time of day.
+func (c *Core) describesEarlier(m work.Minion) bool {
+	inUse := c.minion.known() || c.minion.departed && len(c.runs) > 0
+	return inUse && m.Incarnation < c.minion.Incarnation
+}
+
 // ignoreDescription notes that a description was not taken.
 func (c *Core) ignoreDescription(m work.Minion, reason string) {
 	c.emit(IgnoreDescription{Ignored: m, Current: c.minion.Minion, Reason: reason})
