review: Silence and lease add up to more than the time to a resubmission

Cause: an agent stops the runs of a silent entry after 0.8 s, and the lease that it extends until then lasts for 0.7 s more if the agent freezes. A caller whose connection broke submits the job again after 1.3 s.

--- a/review/testdata/standin-2/main.go
+++ b/review/testdata/standin-2/main.go
@@ -40,6 +40,7 @@
 	"restarted-entry": restartedEntry,
 	"frozen-entry":    frozenEntry,
 	"other-kind":      otherKind,
+	"lease-chain":     leaseChain,
 }
 
 func main() {
@@ -85,9 +86,9 @@
 
 // deployment is what deploy has started.
 type deployment struct {
-	// entries are the names of the entries' machines, and minions the first lifetimes.
-	entries []string
-	minions []*minion
+	// entries and agents are the names of their machines, and minions the first lifetimes.
+	entries, agents []string
+	minions         []*minion
 }
 
 // deploy starts three entries, and eight minions with their agents, and waits until all
@@ -112,9 +113,11 @@
 	}
 	for i := range minionCount {
 		zone := zones[i%len(zones)]
-		if _, err := w.startAgent(11+i, zone); err != nil {
+		agent, err := w.startAgent(11+i, zone)
+		if err != nil {
 			return fail(err)
 		}
+		d.agents = append(d.agents, agent)
 		m, err := w.startMinion(fmt.Sprintf("i-7f3a91c%d", i), 11+i, zone, labels(i), fmt.Sprintf("r1-%d", i/3))
 		if err != nil {
 			return fail(err)
--- a/review/testdata/standin-2/minion.go
+++ b/review/testdata/standin-2/minion.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -48,8 +50,9 @@
 	// dark is true while the machine is silent: nothing is read and nothing answered.
 	dark bool
 	seq  int
-	// starts lists what this lifetime has begun.
+	// starts lists what this lifetime has begun, and ends what has ended there.
 	starts []startedRun
+	ends   []endedRun
 
 	listener net.Listener
 	server   *http.Server
@@ -66,6 +69,26 @@
 	Labels []string
 }
 
+// endedRun is a run of a task from its start to its end.
+type endedRun struct {
+	task, minion string
+	run          int
+	from, to     time.Time
+}
+
+// history returns the runs of a job; those under way end now.
+func (m *minion) history(id string) []endedRun {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	m.advance(now)
+	runs := append([]endedRun(nil), m.ends...)
+	for key, r := range m.runs {
+		runs = append(runs, endedRun{task: key.Task, minion: m.id, run: key.Run, from: r.startedAt, to: now})
+	}
+	return slices.DeleteFunc(runs, func(r endedRun) bool { return !strings.HasPrefix(r.task, id+".") })
+}
+
 // taskSpec is the spec of the tasks of these tests.
 type taskSpec struct {
 	MS  int `json:"ms"`
@@ -142,6 +165,7 @@
 
 // end ends a run. The lock is held.
 func (m *minion) end(key runKey, how string) {
+	m.ends = append(m.ends, endedRun{task: key.Task, minion: m.id, run: key.Run, from: m.runs[key].startedAt, to: time.Now()})
 	delete(m.runs, key)
 	m.highest[key.Task] = max(m.highest[key.Task], key.Run)
 	m.lastEnd++
