--- a/review/testdata/standin-3/cluster.go
+++ b/review/testdata/standin-3/cluster.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -95,10 +96,12 @@
 	node, ip string
 	args     []string
 	settings string
-	mu       sync.Mutex
-	cmd      *exec.Cmd
-	ended    chan struct{}
-	closed   bool
+	// turnedAway makes the store answer this machine with status 503.
+	turnedAway atomic.Bool
+	mu         sync.Mutex
+	cmd        *exec.Cmd
+	ended      chan struct{}
+	closed     bool
 }
 
 func newCluster(root, record string) (*cluster, error) {
@@ -182,11 +185,16 @@
 // addProcess prepares a program on the machine with a number.
 func (c *cluster) addProcess(node string, number int, extra string, seeds []string, args ...string) (*process, error) {
 	p := &process{c: c, node: node, ip: c.ip(number), args: args}
-	storeAddress := fmt.Sprintf("%s:%d", c.ip(1), storePort)
-	if len(c.processes) == 0 {
-		if err := c.serve(storeAddress, c.store); err != nil {
-			return nil, err
+	storeAddress := fmt.Sprintf("%s:%d", c.ip(100+number), storePort) // Each machine has its own way to the store.
+	err := c.serve(storeAddress, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if p.turnedAway.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
 		}
+		c.store.ServeHTTP(w, r)
+	}))
+	if err != nil {
+		return nil, err
 	}
 	p.settings = fmt.Sprintf("node=%s\nip=%s\nzone=cartago\nregion=valle-central\nzones.cartago=valle-central\nport_range=%d,%d\nplatform.addr=%s\nplatform.form=table\n%s%s",
 		node, p.ip, linkPort, linkPort+15, storeAddress, bounds, extra)
@@ -200,17 +208,22 @@
 // seed returns the control address of the entry with a number.
 func (c *cluster) seed(n int) string { return fmt.Sprintf("%s:%d", c.ip(10+n), registryPort) }
 
-// linkAddress returns the address of the entry with a number for other processes.
-func (c *cluster) linkAddress(n int) string { return fmt.Sprintf("%s:%d", c.ip(10+n), linkPort) }
-
-// addEntry prepares an entry. listen is where it listens for other processes, which
-// connect through a proxy.
-func (c *cluster) addEntry(n int, listen string, seeds []string) (*process, error) {
+// addEntry prepares an entry, to which other processes connect through a proxy.
+func (c *cluster) addEntry(n int, seeds []string) error {
+	listen := fmt.Sprintf("%s:%d", c.ip(200+n), linkPort)
+	links, err := c.newProxy(fmt.Sprintf("%s:%d", c.ip(10+n), linkPort), listen)
+	if err != nil {
+		return err
+	}
 	ip := c.ip(10 + n)
-	extra := fmt.Sprintf("machine_class=front\nserves=front,control\nlisten.front=%s:%d\nlisten.ready=%s:%d\nlisten.control=%s:%d\nlimits.cpu_share=0.4\nlimits.cores=1\n",
-		ip, callersPort, ip, readinessPort, ip, registryPort)
-	extra += "listen.links=" + listen + "\n"
-	return c.addProcess(fmt.Sprintf("front-%d", n), 10+n, extra, seeds, "target/agatevalve", "serve", "--on-platform")
+	extra := fmt.Sprintf("machine_class=front\nserves=front,control\nlisten.front=%s:%d\nlisten.ready=%s:%d\nlisten.control=%s:%d\nlisten.links=%s\nlimits.cpu_share=0.4\nlimits.cores=1\n",
+		ip, callersPort, ip, readinessPort, ip, registryPort, listen)
+	e, err := c.addProcess(fmt.Sprintf("front-%d", n), 10+n, extra, seeds, "target/agatevalve", "serve", "--on-platform")
+	if err != nil {
+		return err
+	}
+	c.entries, c.links = append(c.entries, e), append(c.links, links)
+	return nil
 }
 
 // addAgent prepares an agent and starts its minion.
--- a/review/testdata/standin-3/elsewhere.go
+++ b/review/testdata/standin-3/elsewhere.go
@@ -7,10 +7,13 @@
 	"agatevalve/common/work"
 )
 
-func init() { cases["refused-link"] = refusedLink }
+func init() {
+	cases["refused-link"] = refusedLink
+	cases["unlisted-entry"] = unlistedEntry
+}
 
-// longTask is the duration of a task of several seconds.
-const longTask = 9 * time.Second
+// longTask is the duration of a task of several seconds, as in the example of PROTOCOL.md.
+const longTask = 7 * time.Second
 
 func longWork(work.Task) time.Duration { return longTask }
 
@@ -70,3 +73,39 @@
 		}
 	})
 }
+
+// unlistedEntry adds an entry that the store turns away for a while, and cancels a job of
+// it at an entry that is not among its seeds.
+func unlistedEntry(c *cluster, trouble bool) ([]string, error) {
+	c.workOf = longWork
+	if err := c.startSite(); err != nil {
+		return nil, err
+	}
+	// The first seed is an entry, and nothing is at the others any more.
+	if err := c.addEntry(entryCount, []string{c.seed(0), c.seed(entryCount + 1), c.seed(entryCount + 2)}); err != nil {
+		return nil, err
+	}
+	added := c.entries[entryCount]
+	added.turnedAway.Store(trouble)
+	if trouble {
+		c.add("the store turns %s away", added.node)
+	}
+	if err := added.start(); err != nil {
+		return nil, err
+	}
+	if !await(6*time.Second, added.ready) {
+		return nil, fmt.Errorf("%w: %s is not ready", errUnable, added.node)
+	}
+	c.add("%s is ready", added.node)
+	id := newJobID()
+	pending := c.submit(added, id, longStep(), 20*time.Second)
+	if !await(2*time.Second, func() bool { return c.activeRuns(id) == 2 }) {
+		return nil, fmt.Errorf("%w: the job has not started", errUnable)
+	}
+	return c.checkGone(c.entries[1], id, pending, func() {
+		if trouble {
+			added.turnedAway.Store(false)
+			c.add("the store serves %s again", added.node)
+		}
+	})
+}
--- a/review/testdata/standin-3/manifest.go
+++ b/review/testdata/standin-3/manifest.go
@@ -4,15 +4,16 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"agatevalve/common/work"
 )
 
 func init() { cases["time-out"] = timeOut }
 
-const (
-	applyBound = 2 * time.Second // apply_ms
-	// longTimeOut is the new time-out of a route.
-	longTimeOut = 2 * time.Hour
-)
+// longTimeOut is the new time-out of a route.
+const longTimeOut = 2 * time.Hour
+
+func shortWork(work.Task) time.Duration { return 100 * time.Millisecond }
 
 // timeOut writes a manifest that drops a route, adds another one and raises the time-out
 // of a third one.
--- a/review/testdata/standin-3/site.go
+++ b/review/testdata/standin-3/site.go
@@ -10,6 +10,11 @@
 	entryCount = 3
 	agentCount = 11
 	rackSize   = 3
+	// cancelBound, stopBound, stableTime and applyBound are bounds of the settings.
+	cancelBound = 3 * time.Second
+	stopBound   = 50 * time.Millisecond
+	stableTime  = 3 * time.Second
+	applyBound  = 2 * time.Second
 )
 
 // kinds are the kinds of the minions in turn.
@@ -23,16 +28,9 @@
 		seeds = append(seeds, c.seed(n))
 	}
 	for n := range entryCount {
-		listen := fmt.Sprintf("%s:%d", c.ip(200+n), linkPort)
-		links, err := c.newProxy(c.linkAddress(n), listen)
-		if err != nil {
+		if err := c.addEntry(n, seeds); err != nil {
 			return err
 		}
-		e, err := c.addEntry(n, listen, seeds)
-		if err != nil {
-			return err
-		}
-		c.entries, c.links = append(c.entries, e), append(c.links, links)
 	}
 	for n := range agentCount {
 		if err := c.addAgent(n, []string{kinds[n%len(kinds)], fmt.Sprintf("r1-%d", n/rackSize)}, seeds); err != nil {
