--- a/review/testdata/standin-3/cluster.go
+++ b/review/testdata/standin-3/cluster.go
@@ -153,21 +153,21 @@
 	return nil
 }
 
-// route is a queue of the manifest, whose path prefix is its name between slashes.
+// route is a queue of the manifest.
 type route struct {
-	name    string
-	timeout time.Duration
+	name, prefix string
+	timeout      time.Duration
 }
 
 // holdRoute is the queue of the cases that need one only.
-var holdRoute = route{name: "hold", timeout: 30 * time.Second}
+var holdRoute = route{name: "hold", prefix: prefix, timeout: 30 * time.Second}
 
 // putManifest writes the operator's manifest.
 func (c *cluster) putManifest(version int, routes ...route) {
 	rows := []any{}
 	for _, r := range routes {
 		rows = append(rows, map[string]any{
-			"name": "r-" + r.name, "host": host, "path_prefix": "/" + r.name + "/", "kind": "non_idempotent", "timeout_ms": r.timeout.Milliseconds(),
+			"name": "r-" + r.name, "host": host, "path_prefix": r.prefix, "kind": "non_idempotent", "timeout_ms": r.timeout.Milliseconds(),
 			"slo_ms": 60, "priority": 0, "service": service, "attempts": 4, "stretch": 1.6,
 		})
 	}
