--- a/review/testdata/standin-3/caller.go
+++ b/review/testdata/standin-3/caller.go
@@ -8,13 +8,10 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"time"
 )
 
-func mustAddrPort(text string) netip.AddrPort { return netip.MustParseAddrPort(text) }
-
 // newJobID returns 16 hexadecimal digits.
 func newJobID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
@@ -80,7 +77,10 @@
 	return replies
 }
 
-// cancelJob sends a DELETE.
-func (c *cluster) cancelJob(entry *process, id string) reply {
-	return c.call(c.ctx, http.MethodDelete, entry, prefix+id, nil, 2*time.Second)
+// cancelJob cancels a job of holdRoute.
+func (c *cluster) cancelJob(entry *process, id string) reply { return c.cancelAt(entry, prefix+id) }
+
+// cancelAt sends a DELETE.
+func (c *cluster) cancelAt(entry *process, path string) reply {
+	return c.call(c.ctx, http.MethodDelete, entry, path, nil, 2*time.Second)
 }
--- a/review/testdata/standin-3/cluster.go
+++ b/review/testdata/standin-3/cluster.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -35,7 +36,11 @@
 	storePort     = 8169
 	// heartbeatInterval is heartbeat_ms of the settings.
 	heartbeatInterval = 1500 * time.Millisecond
-	maxLease          = time.Second
+	// reportRetry is the pause after a status report that was not acknowledged.
+	reportRetry = 100 * time.Millisecond
+	// advanceInterval is the interval at which minions end runs that are due.
+	advanceInterval = 2 * time.Millisecond
+	maxLease        = time.Second
 )
 
 // bounds are the figures of the small deployment that claim.txt names.
@@ -63,7 +68,6 @@
 	minion         string
 	run            work.Run
 	started, ended time.Time
-	state          work.State
 }
 
 // cluster is a small deployment: the project's programs as processes, and stand-ins of
@@ -80,12 +84,9 @@
 	// proxies through which other processes connect to these.
 	processes, entries []*process
 	links              []*proxy
-	minions            []*minion
 
 	mu   sync.Mutex // Also the lock of the minions.
 	runs []*run
-	// labels holds the labels of each lifetime of a minion.
-	labels map[string][]string
 	// workOf returns the duration of a task.
 	workOf func(work.Task) time.Duration
 }
@@ -114,7 +115,7 @@
 		return nil, err
 	}
 	c := &cluster{
-		recorder: r, root: root, dir: dir, net: fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), 1+rand.IntN(250)), store: newStore(), labels: make(map[string][]string),
+		recorder: r, root: root, dir: dir, net: fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), 1+rand.IntN(250)), store: newStore(),
 		workOf: func(work.Task) time.Duration { return time.Second },
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -228,16 +229,12 @@
 
 // addAgent prepares an agent and starts its minion.
 func (c *cluster) addAgent(n int, labels []string, seeds []string) error {
-	m := &minion{c: c, number: n, address: fmt.Sprintf("%s:%d", c.ip(50+n), minionPort), registry: fmt.Sprintf("%s:%d", c.ip(30+n), registryPort)}
-	extra := fmt.Sprintf("machine_class=side\nserves=side\nlisten.control=%s\napp=%s\nservice=%s\nlimits.cpu_share=0.24\nlimits.cores=1\n", m.registry, m.address, service)
-	_, err := c.addProcess(fmt.Sprintf("side-%d", n), 30+n, extra, seeds, "target/agatevalve-agent", "--on-platform")
-	if err != nil {
+	address, registry := fmt.Sprintf("%s:%d", c.ip(50+n), minionPort), fmt.Sprintf("%s:%d", c.ip(30+n), registryPort)
+	extra := fmt.Sprintf("machine_class=side\nserves=side\nlisten.control=%s\napp=%s\nservice=%s\nlimits.cpu_share=0.24\nlimits.cores=1\n", registry, address, service)
+	if _, err := c.addProcess(fmt.Sprintf("side-%d", n), 30+n, extra, seeds, "target/agatevalve-agent", "--on-platform"); err != nil {
 		return err
 	}
-	c.minions = append(c.minions, m)
-	m.begin(fmt.Sprintf("i-%d-1", n), labels)
-	go m.report()
-	return m.listen()
+	return c.startMinion(fmt.Sprintf("i-%d-1", n), address, labels, netip.MustParseAddrPort(registry))
 }
 
 // start starts the program.
@@ -315,22 +312,9 @@
 	return false
 }
 
-// minion is the stand-in of the minion beside an agent, over several lifetimes.
-type minion struct {
-	c                 *cluster
-	number            int
-	address, registry string
-
-	mu      sync.Mutex
-	name    string
-	current *imitator.Minion
-	server  *http.Server
-}
-
-// begin starts a lifetime.
-func (m *minion) begin(name string, labels []string) {
-	c := m.c
-	current := imitator.NewMinion(&c.mu, emulator.LeasedOptions{
+// startMinion starts the stand-in of a minion, which reports to the registry of its agent.
+func (c *cluster) startMinion(name, address string, labels []string, registry netip.AddrPort) error {
+	minion := imitator.NewMinion(&c.mu, emulator.LeasedOptions{
 		Minion: work.Minion{
 			Name: name, Incarnation: uint64(time.Now().UnixMilli()), Service: service, Zone: "cartago", Labels: labels, Room: work.Room{CPU: 16000, Memory: 65536},
 		},
@@ -345,85 +329,28 @@
 		OnEnd: func(r work.Run, state work.State, at time.Time) {
 			for _, o := range c.runs {
 				if o.run == r && o.minion == name && o.ended.IsZero() {
-					o.ended, o.state = at, state
+					o.ended = at
 				}
 			}
 			c.add("run %s.0.0.%d run %d ends %s on %s", r.Job, r.Index, r.Number, state, name)
 		},
 	})
-	c.mu.Lock()
-	c.labels[name] = labels
-	c.mu.Unlock()
-	m.mu.Lock()
-	m.name, m.current = name, current
-	m.mu.Unlock()
 	go func() {
-		for c.ctx.Err() == nil && !m.replaced(current) {
-			current.WithLock(func(l *emulator.LeasedMinion, now time.Time) { l.Advance(now) })
-			time.Sleep(2 * time.Millisecond)
+		for c.ctx.Err() == nil {
+			minion.WithLock(func(l *emulator.LeasedMinion, now time.Time) { l.Advance(now) })
+			time.Sleep(advanceInterval)
 		}
 	}()
-}
-
-func (m *minion) replaced(by *imitator.Minion) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.current != by
-}
-
-// listen opens the port of the minion.
-func (m *minion) listen() error {
-	l, err := net.Listen("tcp", m.address)
-	if err != nil {
-		return err
-	}
-	m.mu.Lock()
-	current := m.current
-	server := &http.Server{Handler: current, ReadHeaderTimeout: time.Minute}
-	m.server = server
-	m.mu.Unlock()
-	go func() { _ = server.Serve(l) }()
-	context.AfterFunc(m.c.ctx, func() { _ = server.Close() })
-	return nil
-}
-
-// crash ends the lifetime: its port refuses connections.
-func (m *minion) crash() {
-	m.mu.Lock()
-	current, server := m.current, m.server
-	m.current = nil
-	m.mu.Unlock()
-	current.Crash()
-	_ = server.Close()
-	m.c.add("minion %s crashes", m.name)
-}
-
-// report sends a status report each heartbeatInterval.
-func (m *minion) report() {
-	for m.c.ctx.Err() == nil {
-		m.reportOnce()
-		time.Sleep(heartbeatInterval)
-	}
-}
-
-func (m *minion) reportOnce() bool {
-	m.mu.Lock()
-	current := m.current
-	m.mu.Unlock()
-	if current == nil {
-		return false
-	}
-	for range 20 {
-		if m.c.reportTo(current, m.registry) {
-			return true
+	go func() {
+		for c.ctx.Err() == nil {
+			pause := reportRetry
+			if minion.Report(c.ctx, registry) {
+				pause = heartbeatInterval
+			}
+			time.Sleep(pause)
 		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	return false
-}
-
-func (c *cluster) reportTo(m *imitator.Minion, registry string) bool {
-	return m.Report(c.ctx, mustAddrPort(registry))
+	}()
+	return c.serve(address, minion)
 }
 
 // activeRuns returns the runs of a job that go on.
