--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,9 +1,12 @@
 #!/usr/bin/env bash
 # A manifest adds a route whose path prefix has no final slash.
+# With TROUBLE=0 it does the same without the disruption.
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 cd "$(dirname "$0")" || exit 2
 root=$(cd ../.. && pwd)
 for program in agatevalve agatevalve-agent review-3/standin-3; do
 	[ -x "$root/target/$program" ] || { echo "build target/$program first"; exit 2; }
 done
-exec "$root/target/review-3/standin-3" open-prefix "$root" record.txt
+trouble=yes
+[ "${TROUBLE:-1}" = 0 ] && trouble=no
+exec "$root/target/review-3/standin-3" open-prefix "$root" record.txt "$trouble"
--- a/review/testdata/standin-3/main.go
+++ b/review/testdata/standin-3/main.go
@@ -22,11 +22,11 @@
 var cases = map[string]func(c *cluster, trouble bool) (violations []string, err error){}
 
 func main() {
-	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE ROOT RECORD")
+	if len(os.Args) != 5 || cases[os.Args[1]] == nil || os.Args[4] != "yes" && os.Args[4] != "no" {
+		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE ROOT RECORD yes|no (with the disruption or without)")
 		os.Exit(unable)
 	}
-	os.Exit(play(os.Args[1], os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0"))
+	os.Exit(play(os.Args[1], os.Args[2], os.Args[3], os.Args[4] == "yes"))
 }
 
 func play(name, root, record string, trouble bool) int {
