scheduler: Keep the objective of a job with a large stretch at its deadline

What callers would see: jobs of a route whose stretch is large count as late as soon as they arrive. They are placed behind all that can be on time, and their runs are ordered to start before a time long past.

Cause: the objective is the stretch times the longest task as a time.Duration, and a product beyond 292 years overflows to the past.

Change: the product is compared with the time that the job has before it is converted. Objectives before the deadline are the same to the nanosecond.

Evidence: TestObjectiveWithALargeStretchIsTheDeadline failed before, its order had to start before it was sent.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -56,7 +56,11 @@
 // objectiveFor returns the latency objective if the longest task needs the
 // given work; at most the deadline.
 func (j *job) objectiveFor(longest time.Duration) time.Time {
-	objective := j.Arrived.Add(time.Duration(j.Stretch*float64(longest)) + j.Allowance)
+	stretched := j.Stretch * float64(longest)
+	if stretched >= float64(j.Deadline.Sub(j.Arrived)) { // It may be too large for a duration.
+		return j.Deadline
+	}
+	objective := j.Arrived.Add(time.Duration(stretched) + j.Allowance)
 	if objective.After(j.Deadline) {
 		return j.Deadline
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -235,6 +235,19 @@
 	is.Equal(len(commandsOf[scheduler.Answer](b.report(placed[0], projection))), 1)
 }
 
+// Guards against an objective before the arrival, which jobs of a route with a large
+// stretch had since the product overflowed. Their runs counted as late at once.
+func TestObjectiveWithALargeStretchIsTheDeadline(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(1)
+	submission := b.submission("a", 1)
+	submission.Job.Stretch = 1e12
+	submission.Job.Allowance = 365 * 24 * time.Hour
+	placed := commandsOf[scheduler.Place](b.step(submission))
+	is.Equal(len(placed), 1)
+	is.True(placed[0].Order.StartBefore.After(b.now))
+}
+
 // A failing minion is avoided while another has room, long before it is
 // ejected, so its ejection shows only where all others are full.
 func TestFailingMinionIsAvoidedWhileAnotherHasRoom(t *testing.T) {
