platform: Put each accepted configuration into force, whatever its values

Cause: entries put the operator's document through the checks of the product's own tables, for operators who get the findings back. On the platform the write is acknowledged by then. One time-out of over an hour, which only callers without a deadline use, kept the whole version out of force. So did any other value, name, host or number type that the checks or the decoder dislike.

Evidence: the entries' log has the version 1 ms after its write, and "Refused a configuration ... answer-within 2h0m0s is out of range"; none was late or replaced.

Change: router.CompileAccepted builds the table of a configuration that is binding. It replaces values by the nearest limit, keeps odd names and hosts, and leaves out only rows that can't be told apart or read, each with a warning. Warnings are logged with their remedies, 20 for each version, and counted in configuration-warnings; a document without a readable version counts in configurations-refused, which it didn't. router.Check is as strict as before for the product's own tables.

--- a/router/compile.go
+++ b/router/compile.go
@@ -13,7 +13,8 @@
 // Of the routes that match a request, the most specific one is chosen: a route
 // that names the host is preferred over one for any host, then the longest path
 // prefix wins, then a route that names the method is preferred. Compile refuses
-// configurations in which this leaves a choice.
+// configurations in which this leaves a choice; CompileAccepted leaves out all
+// but the first of such routes.
 type Table struct {
 	revision uint64
 	routes   []Route
@@ -63,39 +64,35 @@
 	if len(refused) > 0 {
 		return nil, fault.Wrap(refused, fault.Invalid, "mend each row named and apply again", "configuration refused")
 	}
-	t := &Table{
-		revision:  revision,
-		routes:    slices.Clone(routes),
-		pools:     clonePools(pools),
-		warnings:  warnings,
-		hosts:     make(map[string]*hostRoutes),
-		poolIndex: make(map[string]int, len(pools)),
-	}
-	t.buildIndex()
-	return t, nil
+	return newTable(revision, slices.Clone(routes), clonePools(pools), warnings), nil
 }
 
-func clonePools(pools []Pool) []Pool {
-	clones := slices.Clone(pools)
-	for i := range clones {
-		clones[i].Quotas = slices.Clone(clones[i].Quotas)
+// newTable builds the index for matching. Each pool of a route is among the pools.
+func newTable(revision uint64, routes []Route, pools []Pool, warnings []Finding) *Table {
+	t := &Table{
+		revision: revision, routes: routes, pools: pools, warnings: warnings,
+		hosts: make(map[string]*hostRoutes), poolIndex: make(map[string]int, len(pools)),
 	}
-	return clones
-}
-
-// buildIndex fills hosts and poolIndex from routes and pools.
-func (t *Table) buildIndex() {
-	for i, p := range t.pools {
+	for i, p := range pools {
 		t.poolIndex[p.Name] = i
 	}
-	for _, r := range t.routes {
+	for _, r := range routes {
 		h := t.hosts[r.Host]
 		if h == nil {
 			h = &hostRoutes{prefixes: make(map[string]*prefixRoutes)}
 			t.hosts[r.Host] = h
 		}
-		h.add(&Plan{Revision: t.revision, Route: r, Pool: t.pools[t.poolIndex[r.Pool]]})
+		h.add(&Plan{Revision: revision, Route: r, Pool: pools[t.poolIndex[r.Pool]]})
 	}
+	return t
+}
+
+func clonePools(pools []Pool) []Pool {
+	clones := slices.Clone(pools)
+	for i := range clones {
+		clones[i].Quotas = slices.Clone(clones[i].Quotas)
+	}
+	return clones
 }
 
 func (h *hostRoutes) add(plan *Plan) {
--- a/router/finding.go
+++ b/router/finding.go
@@ -35,6 +35,8 @@
 	// UnusedPool is a pool that no route names. It is only a warning, because
 	// pools are created before the routes that lead to them.
 	UnusedPool Cause = "unused-pool"
+	// BadValue is a value that can't be read.
+	BadValue Cause = "bad-value"
 	// TooManyRows is a table with too many rows.
 	TooManyRows Cause = "too-many-rows"
 )
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -35,6 +35,9 @@
 	// source is silent but has not failed, as in each quiet poll of a healthy store.
 	// Each request opens a connection.
 	quietPeerLimit = 2
+	// maxLoggedWarnings caps the log lines about the values of one configuration. All
+	// are counted.
+	maxLoggedWarnings = 20
 )
 
 // Document is a configuration as the operator wrote it.
@@ -51,12 +54,17 @@
 	Table *router.Table
 	// MaxBodyBytes is the maximum size of a request body; 0 for the default.
 	MaxBodyBytes int64
+	// Warnings are the values of the document that are not used as written.
+	Warnings []router.Finding
 }
 
 // Change is what the operator has changed.
 type Change struct {
 	// Document is the current configuration, or empty if it has not changed.
 	Document Document
+	// Unreadable is the reason why the current configuration, which has changed, is not
+	// in Document; nil if there is none.
+	Unreadable error
 	// Zones is the current decision on evacuated zones. Its version is 0 if it has
 	// not changed.
 	Zones work.Zones
@@ -115,6 +123,9 @@
 	zonesMu sync.Mutex
 
 	adopted, refused, failed metrics.Counter
+	// warnings is the number of values in the configuration in force that are not used
+	// as written.
+	warnings metrics.Gauge
 	// zonesChanged counts decisions that differ from the one before, and evacuated
 	// is the number of zones that are evacuated.
 	zonesChanged metrics.Counter
@@ -130,6 +141,8 @@
 		refused: metrics.GetOrRegisterCounter("configurations-refused", o.Metrics),
 		failed:  metrics.GetOrRegisterCounter("configuration-reads-failed", o.Metrics),
 
+		warnings: metrics.GetOrRegisterGauge("configuration-warnings", o.Metrics),
+
 		zonesChanged: metrics.GetOrRegisterCounter("zones-changed", o.Metrics),
 		evacuated:    metrics.GetOrRegisterGauge("zones-evacuated", o.Metrics),
 	}
@@ -236,6 +249,9 @@
 // call it at the same time.
 func (s *Subscriber) adopt(change Change, from string) {
 	s.adoptZones(change.Zones, from)
+	if change.Unreadable != nil {
+		s.refuse(0, from, change.Unreadable)
+	}
 	if s.zones.Load() == nil {
 		return // With a configuration, the entry would place work in evacuated zones.
 	}
@@ -269,8 +285,7 @@
 	}
 	configuration, err := s.options.Compile(document)
 	if err != nil {
-		s.refused.Inc(1)
-		s.options.Log.Error("subscriber: Refused a configuration", "version", document.Version, "from", from, "error", err)
+		s.refuse(document.Version, from, err)
 		return
 	}
 	next := &activeConfiguration{document: document, configuration: configuration}
@@ -284,8 +299,20 @@
 		}
 	}
 	s.adopted.Inc(1)
+	s.warnings.Update(int64(len(configuration.Warnings)))
 	s.options.Log.Info("subscriber: A configuration is in force", "version", document.Version, "from", from,
-		"routes", len(configuration.Table.Routes()), "bytes", len(document.Content))
+		"routes", len(configuration.Table.Routes()), "bytes", len(document.Content), "warnings", len(configuration.Warnings))
+	for _, w := range configuration.Warnings[:min(len(configuration.Warnings), maxLoggedWarnings)] {
+		s.options.Log.Warn("subscriber: A value of the configuration is not used as written", "version", document.Version,
+			"table", w.Table, "row", w.Row, "cause", w.Cause, "reason", w.Text, "remedy", w.Remedy)
+	}
+}
+
+// refuse reports that a configuration does not come into force. The version is 0 if
+// it can't be read.
+func (s *Subscriber) refuse(version int64, from string, err error) {
+	s.refused.Inc(1)
+	s.options.Log.Error("subscriber: Refused a configuration", "version", version, "from", from, "error", err)
 }
 
 // sleep waits for the pause or the end of ctx, whichever comes first.
