router: Match the path prefixes of the platform literally

Cause: the router matches whole path segments, so /assign is not found in /assign5c0e7a21d94b36f8. On the platform a prefix is text, and the longest one that the path begins with selects the route. The adapter cut the final slash off and used the rest as segments.

Evidence: the version is in force at the entry at once, with two routes, and "no route matches" is logged for that revision.

Change: a route says how its prefix matches: whole segments, as in the product's own tables, or literally. The adapter uses literal prefixes with their escapes decoded, as in a request's path. A literal lookup tries the lengths that occur, the longest first, and hashes only those at whose end the path has the last byte of such a prefix. A GET of /hold no longer matches /hold/, which it doesn't begin with. explain tells literal prefixes from others, and explains a document of the platform with --on-platform.

--- a/commands/config.go
+++ b/commands/config.go
@@ -24,19 +24,28 @@
 
 // readConfiguration reads and decodes a configuration file.
 func readConfiguration(path string) (historian.Configuration, error) {
+	data, err := readConfigurationFile(path)
+	if err != nil {
+		return historian.Configuration{}, err
+	}
+	return historian.DecodeConfiguration(path, data)
+}
+
+// readConfigurationFile returns the content of a configuration file.
+func readConfigurationFile(path string) ([]byte, error) {
 	const remedy = "name a configuration file that can be read"
 	info, err := os.Stat(path)
 	if err != nil {
-		return historian.Configuration{}, fault.Wrap(err, fault.NotFound, remedy, "configuration file %s", path)
+		return nil, fault.Wrap(err, fault.NotFound, remedy, "configuration file %s", path)
 	}
 	if info.Size() > maxConfigurationBytes {
-		return historian.Configuration{}, fault.New(fault.TooLarge, remedy, "%s has %d bytes, more than %d", path, info.Size(), maxConfigurationBytes)
+		return nil, fault.New(fault.TooLarge, remedy, "%s has %d bytes, more than %d", path, info.Size(), maxConfigurationBytes)
 	}
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return historian.Configuration{}, fault.Wrap(err, fault.NotFound, remedy, "configuration file %s", path)
+		return nil, fault.Wrap(err, fault.NotFound, remedy, "configuration file %s", path)
 	}
-	return historian.DecodeConfiguration(path, data)
+	return data, nil
 }
 
 // ConfigCheckCommand validates a configuration file without the store.
--- a/commands/explain.go
+++ b/commands/explain.go
@@ -8,17 +8,19 @@
 
 	"agatevalve/common/fault"
 	"agatevalve/historian"
+	"agatevalve/platform"
 	"agatevalve/router"
 )
 
 // ExplainCommand prints which route, pool and minions would serve a request, and
 // why.
 type ExplainCommand struct {
-	Method string  `arg:"" help:"HTTP method of the request."`
-	Path   string  `arg:"" help:"Path of the request, decoded, without query."`
-	Host   string  `help:"Host of the request, without port." placeholder:"HOST"`
-	At     *uint64 `help:"Explain by an older revision." placeholder:"REVISION"`
-	File   string  `help:"Explain by a configuration file, without the store and minions." placeholder:"FILE"`
+	Method     string  `arg:"" help:"HTTP method of the request."`
+	Path       string  `arg:"" help:"Path of the request, decoded, without query."`
+	Host       string  `help:"Host of the request, without port." placeholder:"HOST"`
+	At         *uint64 `help:"Explain by an older revision." placeholder:"REVISION"`
+	File       string  `help:"Explain by a configuration file, without the store and minions." placeholder:"FILE"`
+	OnPlatform bool    `help:"The file is a configuration document of the users' platform."`
 }
 
 // wireExplanation is the JSON output of explain.
@@ -57,12 +59,15 @@
 
 // Run explains the request by a file, or by the store and the live entries.
 func (e *ExplainCommand) Run(c *console) error {
-	if e.File != "" {
+	switch {
+	case e.OnPlatform:
+		return e.explainDocument(c)
+	case e.File != "":
 		configuration, err := readConfiguration(e.File)
 		if err != nil {
 			return err
 		}
-		return e.explain(c, configuration, nil)
+		return e.explainConfiguration(c, configuration, nil)
 	}
 	return c.withStore(func(ctx context.Context, s *store) error {
 		configuration, err := s.configurationAt(ctx, e.At)
@@ -73,24 +78,53 @@
 		if err != nil {
 			return err
 		}
-		return e.explain(c, configuration, &views)
+		return e.explainConfiguration(c, configuration, &views)
 	})
 }
 
 // requestLine formats the request, such as GET example.com/path.
 func (e *ExplainCommand) requestLine() string { return e.Method + " " + e.Host + e.Path }
 
-// explain prints the explanation. views is nil if the entries were not queried.
-func (e *ExplainCommand) explain(c *console, configuration historian.Configuration, views *[]entryView) error {
+// explainDocument explains by a document of the platform, and warns of the values in
+// it that entries don't use as written.
+func (e *ExplainCommand) explainDocument(c *console) error {
+	if e.File == "" {
+		return fault.New(fault.Invalid, "name the document with --file", "--on-platform needs a file")
+	}
+	content, err := readConfigurationFile(e.File)
+	if err != nil {
+		return err
+	}
+	document, err := platform.ParseDocument(content)
+	if err != nil {
+		return err
+	}
+	configuration, err := platform.Compile(document)
+	if err != nil {
+		return err
+	}
+	for _, w := range configuration.Warnings {
+		c.printToStderr("warning: %s", w)
+	}
+	return e.explain(c, configuration.Table, nil)
+}
+
+// explainConfiguration explains by a configuration of the product's own tables.
+func (e *ExplainCommand) explainConfiguration(c *console, configuration historian.Configuration, views *[]entryView) error {
 	table, err := configuration.Compile()
 	if err != nil {
 		return err
 	}
+	return e.explain(c, table, views)
+}
+
+// explain prints the explanation. views is nil if the entries were not queried.
+func (e *ExplainCommand) explain(c *console, table *router.Table, views *[]entryView) error {
 	explanation, err := table.Explain(router.Request{Host: e.Host, Path: e.Path, Method: e.Method})
 	if err != nil {
 		return err
 	}
-	output := encodeExplanation(configuration.Revision, explanation)
+	output := encodeExplanation(table.Revision(), explanation)
 	if views != nil {
 		output.EntriesQueried = true
 		output.addMinions(explanation, *views)
--- a/commands/plan.go
+++ b/commands/plan.go
@@ -56,8 +56,12 @@
 	if r.AnswerWithin > 0 {
 		answerWithin = r.AnswerWithin.String()
 	}
+	prefix := r.PathPrefix
+	if r.PrefixMatch == router.Literal {
+		prefix = fmt.Sprintf("%q, literal", prefix)
+	}
 	return fmt.Sprintf("-> route %s (host %s, path prefix %s, method %s): %s; answer within %s; waste weight %d",
-		r.Name, valueOrAny(r.Host), r.PathPrefix, valueOrAny(r.Method), startPolicy, answerWithin, r.WasteWeight)
+		r.Name, valueOrAny(r.Host), prefix, valueOrAny(r.Method), startPolicy, answerWithin, r.WasteWeight)
 }
 
 // describePool formats a step of the plan.
--- a/router/accepted.go
+++ b/router/accepted.go
@@ -44,6 +44,7 @@
 // matchKey is equal for routes that match the same requests.
 type matchKey struct {
 	host, prefix, method string
+	prefixMatch          PrefixMatch
 }
 
 // acceptance collects the rows of an accepted configuration.
@@ -67,8 +68,8 @@
 // accept adds a route and its pool.
 func (a *acceptance) accept(r Route) {
 	r.Host = normalizeHost(r.Host)
-	r.Name = a.uniqueName(r)
-	key := matchKey{r.Host, strings.TrimSuffix(r.PathPrefix, "/"), r.Method}
+	key := matchKey{r.Host, r.requiredPrefix(), r.Method, r.PrefixMatch}
+	r.Name = a.uniqueName(r.Name, key)
 	if other, ok := a.byMatch[key]; ok {
 		a.warn(AmbiguousRoute, r.Name, "change or delete one of the two", "left out, since route %q matches the same requests", other)
 		return
@@ -83,22 +84,22 @@
 	}
 }
 
-// uniqueName returns the name of a route, or one derived from it if it is empty,
-// too long for messages, or that of several routes. What is learned about the
-// jobs of a route is kept by its name.
-func (a *acceptance) uniqueName(r Route) string {
-	count := a.nameCounts[r.Name]
-	if r.Name != "" && len(r.Name) <= MaxNameBytes && count == 1 {
-		return r.Name
+// uniqueName returns the name of a route, or one derived from it and its key if it
+// is empty, too long for messages, or that of several routes. What is learned about
+// the jobs of a route is kept by its name.
+func (a *acceptance) uniqueName(name string, key matchKey) string {
+	count := a.nameCounts[name]
+	if name != "" && len(name) <= MaxNameBytes && count == 1 {
+		return name
 	}
-	shortened := strings.ToValidUTF8(r.Name[:min(len(r.Name), MaxNameBytes/2)], "")
-	name := fmt.Sprintf("%s#%016x", shortened, xxhash.Sum64String(strings.Join([]string{r.Host, r.PathPrefix, r.Method}, "\x00")))
+	shortened := strings.ToValidUTF8(name[:min(len(name), MaxNameBytes/2)], "")
+	unique := fmt.Sprintf("%s#%016x", shortened, xxhash.Sum64String(fmt.Sprintf("%q", key)))
 	if count > 1 {
-		a.warn(SimilarName, name, "give each route a name of its own", "%d routes are named %q", count, shortened)
+		a.warn(SimilarName, unique, "give each route a name of its own", "%d routes are named %q", count, shortened)
 	} else {
-		a.warn(BadName, name, fmt.Sprintf("use 1 to %d bytes", MaxNameBytes), "the name has %d bytes", len(r.Name))
+		a.warn(BadName, unique, fmt.Sprintf("use 1 to %d bytes", MaxNameBytes), "the name has %d bytes", len(name))
 	}
-	return name
+	return unique
 }
 
 // warnUnmatchable warns of values for which no request matches a route.
--- a/router/accepted_test.go
+++ b/router/accepted_test.go
@@ -30,6 +30,10 @@
 func TestAcceptedConfigurationKeepsEachRoute(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		routes := rapid.SliceOfN(rapid.Custom(drawOddRoute), 0, 8).Draw(t, "routes")
+		prefixMatch := rapid.SampledFrom([]router.PrefixMatch{router.WholeSegments, router.Literal}).Draw(t, "match")
+		for i := range routes {
+			routes[i].PrefixMatch = prefixMatch
+		}
 		table := router.CompileAccepted(3, routes)
 		leftOut := 0
 		for _, w := range table.Warnings() {
--- a/router/compile.go
+++ b/router/compile.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"agatevalve/common/fault"
 )
@@ -26,28 +25,6 @@
 	poolIndex map[string]int
 }
 
-// hostRoutes holds the routes with the same host.
-type hostRoutes struct {
-	// maxSegments is the number of segments of the longest prefix in prefixes.
-	maxSegments int
-	// prefixes holds the routes by path prefix; "" stands for "/".
-	prefixes map[string]*prefixRoutes
-}
-
-// prefixRoutes holds the routes with the same host and path prefix.
-type prefixRoutes struct {
-	// byMethod holds the routes that name a method.
-	byMethod []methodPlan
-	// anyMethod is the route for all other methods, or nil.
-	anyMethod *Plan
-}
-
-// methodPlan is the plan of a route that names a method.
-type methodPlan struct {
-	method string
-	plan   *Plan
-}
-
 // Compile validates a configuration and builds the index for matching. When the
 // configuration is refused, it returns a fault of kind Invalid that wraps a
 // FindingsError.
@@ -79,7 +56,7 @@
 	for _, r := range routes {
 		h := t.hosts[r.Host]
 		if h == nil {
-			h = &hostRoutes{prefixes: make(map[string]*prefixRoutes)}
+			h = newHostRoutes()
 			t.hosts[r.Host] = h
 		}
 		h.add(&Plan{Revision: revision, Route: r, Pool: pools[t.poolIndex[r.Pool]]})
@@ -95,21 +72,6 @@
 	return clones
 }
 
-func (h *hostRoutes) add(plan *Plan) {
-	prefix := strings.TrimSuffix(plan.Route.PathPrefix, "/")
-	h.maxSegments = max(h.maxSegments, strings.Count(prefix, "/"))
-	p := h.prefixes[prefix]
-	if p == nil {
-		p = &prefixRoutes{}
-		h.prefixes[prefix] = p
-	}
-	if plan.Route.Method == "" {
-		p.anyMethod = plan
-		return
-	}
-	p.byMethod = append(p.byMethod, methodPlan{plan.Route.Method, plan})
-}
-
 // Revision returns the number of the configuration revision.
 func (t *Table) Revision() uint64 { return t.revision }
 
--- a/router/explain.go
+++ b/router/explain.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"strings"
+
+	"agatevalve/common/fault"
 )
 
 // Verdict is the reason why a route was or was not chosen for a request.
@@ -47,16 +49,14 @@
 // Explain returns the result of Match and all routes that were considered for
 // it. It fails like Match for an invalid request.
 func (t *Table) Explain(request Request) (Explanation, error) {
-	if err := checkRequest(request); err != nil {
+	plan, err := t.Match(request)
+	if err != nil && fault.KindOf(err) != fault.NotFound {
 		return Explanation{}, err
 	}
-	var e Explanation
-	if plan, err := t.Match(request); err == nil {
-		e.Plan, e.Found = plan, true
-	}
+	e := Explanation{Plan: plan, Found: err == nil}
 	host := normalizeHost(request.Host)
 	for _, r := range t.routes {
-		if prefixMatches(r.PathPrefix, request.Path) {
+		if r.matchesPath(request.Path) {
 			e.Considered = append(e.Considered, e.consider(r, request, host))
 		}
 	}
@@ -66,11 +66,10 @@
 	return e, nil
 }
 
-// prefixMatches reports whether a path is equal to the prefix or below it.
-func prefixMatches(prefix, path string) bool {
-	prefix = strings.TrimSuffix(prefix, "/")
-	rest, ok := strings.CutPrefix(path, prefix)
-	return ok && (rest == "" || rest[0] == '/')
+// matchesPath reports whether a path matches the prefix of a route.
+func (r Route) matchesPath(path string) bool {
+	rest, ok := strings.CutPrefix(path, r.requiredPrefix())
+	return ok && (r.PrefixMatch == Literal || rest == "" || rest[0] == '/')
 }
 
 // consider returns the verdict on a route whose path prefix matches.
@@ -92,19 +91,23 @@
 	if r.Host != chosen.Host {
 		return fmt.Sprintf("names no host, %q does", chosen.Name)
 	}
-	if r.PathPrefix != chosen.PathPrefix {
+	if r.requiredPrefix() != chosen.requiredPrefix() {
 		return fmt.Sprintf("has a shorter path than %q", chosen.Name)
 	}
+	if r.PrefixMatch != chosen.PrefixMatch {
+		return fmt.Sprintf("may match a part of a segment, %q does not", chosen.Name)
+	}
 	return fmt.Sprintf("names no method, %q does", chosen.Name)
 }
 
 // compareSpecificity orders routes from the most to the least specific: those
 // that name the host first, then by length of the path prefix, then those that
-// name the method, then by name.
+// match whole segments, then those that name the method, then by name.
 func compareSpecificity(a, b Route) int {
 	return cmp.Or(
 		compareRestriction(a.Host, b.Host),
-		cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)),
+		cmp.Compare(len(b.requiredPrefix()), len(a.requiredPrefix())),
+		cmp.Compare(a.PrefixMatch, b.PrefixMatch),
 		compareRestriction(a.Method, b.Method),
 		cmp.Compare(a.Name, b.Name),
 	)
--- a/router/match.go
+++ b/router/match.go
@@ -15,12 +15,17 @@
 		return Plan{}, err
 	}
 	host := normalizeHost(request.Host)
-	if host != "" {
-		if plan := t.hosts[host].find(request); plan != nil {
-			return *plan, nil
-		}
+	plan := t.hosts[host].find(request.Path, request.Method)
+	if plan == nil && host != "" {
+		plan = t.hosts[""].find(request.Path, request.Method)
+	}
+	if plan != nil && plan.Route.PrefixMatch == Literal {
+		return *plan, nil
 	}
-	if plan := t.hosts[""].find(request); plan != nil {
+	if hasDotSegment(request.Path) {
+		return Plan{}, fault.New(fault.Invalid, "resolve dot segments before sending", "bad path %q", request.Path)
+	}
+	if plan != nil {
 		return *plan, nil
 	}
 	return Plan{}, fault.New(fault.NotFound, "ask an operator for a route, or run agatevalve explain",
@@ -33,9 +38,6 @@
 	if !strings.HasPrefix(request.Path, "/") {
 		return fault.New(fault.Invalid, "begin the path with a slash", "bad path %q", request.Path)
 	}
-	if hasDotSegment(request.Path) {
-		return fault.New(fault.Invalid, "resolve dot segments before sending", "bad path %q", request.Path)
-	}
 	if !slices.Contains(methods, request.Method) {
 		return fault.New(fault.Invalid, "use one of "+strings.Join(methods, ", "), "method %q is not dispatched", request.Method)
 	}
@@ -63,48 +65,3 @@
 func normalizeHost(host string) string {
 	return strings.ToLower(strings.TrimSuffix(host, "."))
 }
-
-// find returns the plan of the most specific route for the path and method, or
-// nil. It tries the prefixes of the path from the longest to the shortest.
-func (h *hostRoutes) find(request Request) *Plan {
-	if h == nil {
-		return nil
-	}
-	prefix := firstSegments(request.Path, h.maxSegments)
-	for {
-		if p := h.prefixes[prefix]; p != nil {
-			if plan := p.find(request.Method); plan != nil {
-				return plan
-			}
-		}
-		if prefix == "" {
-			return nil
-		}
-		prefix = prefix[:strings.LastIndexByte(prefix, '/')]
-	}
-}
-
-// find returns the plan of the route for the method, or of the route for any
-// method, or nil.
-func (p *prefixRoutes) find(method string) *Plan {
-	for i := range p.byMethod {
-		if p.byMethod[i].method == method {
-			return p.byMethod[i].plan
-		}
-	}
-	return p.anyMethod
-}
-
-// firstSegments returns the first count segments of a path that starts with a
-// slash.
-func firstSegments(path string, count int) string {
-	end := 0
-	for range count {
-		next := strings.IndexByte(path[end+1:], '/')
-		if next < 0 {
-			return path
-		}
-		end += 1 + next
-	}
-	return path[:end]
-}
--- a/router/table.go
+++ b/router/table.go
@@ -18,14 +18,27 @@
 	defaultDataWaitWeight = 1.0
 )
 
+// PrefixMatch says which paths a path prefix matches.
+type PrefixMatch uint8
+
+const (
+	// WholeSegments matches the prefix and the paths below it. The prefix starts
+	// with a slash.
+	WholeSegments PrefixMatch = iota
+	// Literal matches all paths that begin with the prefix, which may be empty or
+	// end inside a segment. Dot segments in the path are text like any other.
+	Literal
+)
+
 // Route directs the requests that match it to a pool.
 type Route struct {
 	// Name is unique among routes, regardless of case and blanks.
 	Name string
 	// Host matches the request's host without port; "" matches any host.
 	Host string
-	// PathPrefix starts with a slash and matches whole path segments.
-	PathPrefix string
+	// PathPrefix is matched as PrefixMatch says.
+	PathPrefix  string
+	PrefixMatch PrefixMatch
 	// Method is the HTTP method that the route matches; "" matches any method.
 	Method string
 	// Pool is the name of the pool that serves the route.
