soaker: Draw configurations from all that the platform accepts

The operator now publishes documents that are drawn: the callers' routes in other forms that mean the same, among up to 300 routes with odd names, hosts, prefixes, numbers and types, shorter prefixes that lead to a service without minions, and a probe route under any prefix. A job that is answered with 404 breaks a promise, since each version has its route.

Planted faults that the checks must find: dropped-routes, shadowed-routes, unreadable-documents, beside missing-routes. The last one runs without other faults, as an entry that restarts then has no configuration at all and the probes can't tell.

--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -189,6 +189,9 @@
 		resubmit := !disconnected && n < maxSubmissions && job.isWorthResubmitting(reply, time.Since(firstSent))
 		h.syncMinions()
 		h.checker.jobAnswered(job, reply.Outcome, !resubmit)
+		if reply.Status == http.StatusNotFound {
+			h.checker.addViolation("config: %s answered job %s with 404, though each version has the route of %s", e.vm.Node, job.ID, prefix)
+		}
 		if elapsed := time.Since(sent); !reply.Complete && !disconnected && elapsed < min(patience, job.answerTimeout/2) {
 			h.checkConnectionLoss(job, e, incarnation, sent, elapsed)
 		}
--- a/soaker/operator.go
+++ b/soaker/operator.go
@@ -21,9 +21,6 @@
 	publishInterval = 1500 * time.Millisecond
 	// probeInterval is the pause between two probes of all entries.
 	probeInterval = 200 * time.Millisecond
-	// previousVersionOffset is the difference between the newest version and the
-	// older one whose removed route is probed.
-	previousVersionOffset = 1
 )
 
 // operator publishes configurations, and probes which version each entry serves.
@@ -31,15 +28,17 @@
 	mu          sync.Mutex
 	version     int64
 	publishedAt time.Time
+	// drawer draws the documents.
+	drawer *imitator.DocumentDrawer
+	// probePath is the path of a request for the route that only the newest version
+	// has, and previousPath that of the version before.
+	probePath, previousPath string
 	// measured is true during measuredPeriod. The lock of the harness guards it.
 	measured bool
 	// newestSeen holds the newest version that each incarnation of an entry served.
 	newestSeen map[string]int64
 }
 
-// probePath returns the path prefix of the route that only one version has.
-func probePath(version int64) string { return fmt.Sprintf("/probe-%d/", version) }
-
 // publish writes the next version of the configuration, with a probe route that
 // only this version has.
 func (o *operator) publish(h *harness, first bool) {
@@ -47,18 +46,23 @@
 	defer o.mu.Unlock()
 	if first {
 		o.version, o.newestSeen = 100, make(map[string]int64)
+		o.drawer = imitator.NewDocumentDrawer(rand.New(rand.NewPCG(h.options.Seed, 4)))
 	}
 	o.version++
+	var probePrefix string
+	o.previousPath = o.probePath
+	probePrefix, o.probePath = o.drawer.Prefix(fmt.Sprint("probe-", o.version))
 	routes := []imitator.Route{
 		{Name: "hold", Prefix: "/hold/", Attempts: maxAttempts, AnswerWithin: answerTimeout},
 		{Name: "check", Prefix: "/check/", Attempts: maxAttempts, AnswerWithin: answerTimeout, Priority: 1},
 		{Name: "assign", Prefix: "/assign/", Attempts: maxAttempts, AnswerWithin: answerTimeout, Priority: 2},
-		{Name: "probe", Prefix: probePath(o.version), Attempts: 1, AnswerWithin: answerTimeout},
+		{Name: "probe", Prefix: probePrefix, Attempts: 1, AnswerWithin: answerTimeout},
 	}
-	if h.options.PlantedFault == MissingRoutes && !first {
-		routes = routes[:3]
+	if first {
+		h.store.PutConfiguration(o.drawer.Document(o.version, routes))
+	} else {
+		h.store.PutConfiguration(h.plantInDocument(o.version, routes))
 	}
-	h.store.PutConfiguration(imitator.Document(o.version, routes))
 	o.publishedAt = time.Now()
 }
 
@@ -72,8 +76,8 @@
 			h.operator.publish(h, false)
 			// Some intervals are longer than adoptionTimeout, so that it is checked.
 			nextPublish = time.Now().Add(publishInterval/2 + time.Duration(random.Int64N(int64(2*adoptionTimeout))))
-			if h.options.PlantedFault == MissingRoutes {
-				nextPublish = time.Now().Add(time.Hour) // Leaves time to detect the missing route.
+			if h.options.PlantedFault.isInDocuments() {
+				nextPublish = time.Now().Add(time.Hour) // Leaves time to detect it.
 			}
 		}
 		for _, e := range h.entries {
@@ -91,13 +95,16 @@
 // versions or adopt them late.
 func (o *operator) probe(ctx context.Context, h *harness, client *http.Client, e *entry) {
 	o.mu.Lock()
-	version, publishedAt := o.version, o.publishedAt
+	version, publishedAt, newestPath, previousPath := o.version, o.publishedAt, o.probePath, o.previousPath
 	o.mu.Unlock()
+	if previousPath == "" {
+		return // There is one version only.
+	}
 	incarnation := fmt.Sprintf("%s/%d", e.vm.Node, e.incarnation())
 	address := netip.AddrPortFrom(e.vm.Address, callersPort)
 	probedAt := time.Now()
-	newestStatus := imitator.ProbeRoute(ctx, client, address, probePath(version))
-	previousStatus := imitator.ProbeRoute(ctx, client, address, probePath(version-previousVersionOffset))
+	newestStatus := imitator.ProbeRoute(ctx, client, address, newestPath)
+	previousStatus := imitator.ProbeRoute(ctx, client, address, previousPath)
 	if fmt.Sprintf("%s/%d", e.vm.Node, e.incarnation()) != incarnation || newestStatus == 0 || previousStatus == 0 {
 		return
 	}
@@ -111,7 +118,7 @@
 	}
 	if previousStatus == http.StatusOK && newestStatus == http.StatusOK && o.version == version {
 		// No version has both routes, and the newest version was served first.
-		h.checker.addViolation("config: %s serves versions %d and %d by turns", incarnation, version, version-previousVersionOffset)
+		h.checker.addViolation("config: %s serves version %d and the one before by turns", incarnation, version)
 	}
 	if newestStatus == http.StatusNotFound && probedAt.Sub(publishedAt) > adoptionTimeout && h.checker.undisturbedSince(probedAt, e.vm.Node, "store") {
 		h.checker.addViolation("config: %s does not know version %d, %s after it was written", incarnation, version, probedAt.Sub(publishedAt))
--- a/soaker/planted_faults.go
+++ b/soaker/planted_faults.go
@@ -1,9 +1,12 @@
 package soaker
 
 import (
+	"bytes"
+	"fmt"
 	"time"
 
 	"agatevalve/common/work"
+	"agatevalve/platform/imitator"
 )
 
 // PlantedFault selects a deliberate violation, which tests that the checks detect it.
@@ -31,6 +34,13 @@
 	EvacuatedStarts PlantedFault = "evacuated-starts"
 	// MissingRoutes publishes configurations without their probe route.
 	MissingRoutes PlantedFault = "missing-routes"
+	// DroppedRoutes publishes configurations without a route that callers use.
+	DroppedRoutes PlantedFault = "dropped-routes"
+	// ShadowedRoutes publishes configurations with routes whose prefixes are longer than
+	// those that callers use, and lead to a service without minions.
+	ShadowedRoutes PlantedFault = "shadowed-routes"
+	// UnreadableDocuments publishes documents whose version is no number.
+	UnreadableDocuments PlantedFault = "unreadable-documents"
 	// CutAnswers resets the connections of callers without marking a fault.
 	CutAnswers PlantedFault = "cut-answers"
 	// LateEnds makes minions that are processes of their own say that stopped runs went
@@ -46,6 +56,33 @@
 	lateEndFactor = 5
 )
 
+// isInDocuments reports whether the violation is in what the operator publishes.
+func (f PlantedFault) isInDocuments() bool {
+	return f == MissingRoutes || f == DroppedRoutes || f == ShadowedRoutes || f == UnreadableDocuments
+}
+
+// plantInDocument returns a drawn document, changed by the planted violation. The last
+// route is that of the probes.
+func (h *harness) plantInDocument(version int64, routes []imitator.Route) []byte {
+	switch h.options.PlantedFault {
+	case MissingRoutes:
+		routes = routes[:len(routes)-1]
+	case DroppedRoutes:
+		routes = routes[1:]
+	case ShadowedRoutes:
+		for _, r := range routes[:len(routes)-1] {
+			for _, digit := range "0123456789abcdef" {
+				routes = append(routes, imitator.Route{Name: r.Name + string(digit), Prefix: r.Prefix + string(digit), Service: imitator.NobodysService})
+			}
+		}
+	}
+	document := h.operator.drawer.Document(version, routes)
+	if h.options.PlantedFault == UnreadableDocuments {
+		return bytes.Replace(document, fmt.Appendf(nil, `"version":%d`, version), fmt.Appendf(nil, `"version":"%d"`, version), 1)
+	}
+	return document
+}
+
 // runStarted reports a start to the checker, changed by the planted violation. It
 // is called with the checker's lock held.
 func (h *harness) runStarted(minion string, run work.Run, at time.Time) {
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -117,6 +117,7 @@
 	planted := map[soaker.PlantedFault]string{
 		soaker.DoubledStarts: "twice", soaker.StrayStarts: "unasked", soaker.LostEnds: "false answer", soaker.RefusedStarts: "refused",
 		soaker.DrainedStarts: "drain", soaker.FullMinions: "limit", soaker.RepeatedCrashes: "budget", soaker.WrongLabels: "route", soaker.EvacuatedStarts: "evacuated", soaker.MissingRoutes: "config",
+		soaker.DroppedRoutes: "config", soaker.ShadowedRoutes: "recover", soaker.UnreadableDocuments: "config",
 		soaker.CutAnswers: "lost", soaker.DeadMinions: "recover", soaker.LateEnds: "twice",
 	}
 	block := 0
@@ -128,6 +129,9 @@
 			// moved elsewhere.
 			o.Agents, o.ProcessShare, o.LongShare, o.JobsPerSecond, o.FaultPattern = 4, 0.5, 1, 8, regexp.MustCompile("^$")
 		}
+		if plant == soaker.UnreadableDocuments {
+			o.FaultPattern = regexp.MustCompile("^$") // An entry that restarts has no configuration at all.
+		}
 		t.Run(string(plant), func(t *testing.T) {
 			t.Parallel()
 			result := soak(t, o)
