--- a/rehearser/callers.go
+++ b/rehearser/callers.go
@@ -163,9 +163,14 @@
 	ticket := c.ticket
 	w.after(callerDelay, func() {
 		job.Arrived, job.Deadline = w.now, w.now.Add(c.deadline.Sub(c.arrivedAt)-2*callerDelay)
-		if e.incarnation == c.entryIncarnation {
-			e.deliver(scheduler.Submitted{Job: job, Ticket: ticket})
+		if e.incarnation != c.entryIncarnation {
+			return
+		}
+		if admitted, ok := e.admit(job, c.route.prefix()); ok {
+			e.deliver(scheduler.Submitted{Job: admitted, Ticket: ticket})
+			return
 		}
+		c.receiveAnswer(e, work.NotRun)
 	})
 }
 
--- a/rehearser/day.go
+++ b/rehearser/day.go
@@ -132,6 +132,8 @@
 	// Labels are the labels of minions; the minions take them in turn. nil for
 	// no labels.
 	Labels [][]string
+	// Configurations are the documents that the operator writes.
+	Configurations Configurations
 	// Zones is the number of availability zones, which the minions take in turn; 0
 	// for none.
 	Zones int
--- a/rehearser/rehearser.go
+++ b/rehearser/rehearser.go
@@ -12,6 +12,7 @@
 	"agatevalve/common/heap"
 	"agatevalve/common/work"
 	"agatevalve/emulator"
+	"agatevalve/router"
 	"agatevalve/scheduler"
 	"agatevalve/supervisor"
 )
@@ -79,6 +80,8 @@
 	callers      map[string]*caller
 	verifier     *verifier
 	zones        zoneStore
+	// operator is nil on days without configurations.
+	operator *operator
 }
 
 // Play simulates a day.
@@ -104,6 +107,7 @@
 	for _, f := range day.Faults {
 		w.after(f.At, func() { w.injectFault(f) })
 	}
+	w.startConfigurations()
 	w.startArrivals()
 	end := w.start.Add(day.Length + 5*time.Second)
 	for w.queue.Len() > 0 && w.now.Before(end) {
@@ -138,6 +142,8 @@
 	links map[uint64]*link
 	// storeCutUntil is the end of a period in which the entry can't read the store.
 	storeCutUntil time.Time
+	// table is the configuration in force; nil on days without configurations.
+	table *router.Table
 }
 
 // link is a connection between an incarnation of an entry and one of an agent.
@@ -220,6 +226,7 @@
 	}
 	incarnation := e.incarnation
 	e.readZones()
+	e.readDocument()
 	e.stepPeriodically(incarnation)
 }
 
