--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -62,8 +62,8 @@
 type Change struct {
 	// Document is the current configuration, or empty if it has not changed.
 	Document Document
-	// Unreadable is the reason why the current configuration, which has changed, is not
-	// in Document; nil if there is none.
+	// Unreadable is the reason why the current configuration, which has changed, can't be
+	// read; nil if it can. Document may then be one before it.
 	Unreadable error
 	// Zones is the current decision on evacuated zones. Its version is 0 if it has
 	// not changed.
