soaker: Probe the first version too

Since documents are drawn, entries were not probed before the second version was written, as there was no route of a version before it. The probe of a route that no version has is back.

--- a/rehearser/configurations.go
+++ b/rehearser/configurations.go
@@ -28,8 +28,8 @@
 	// Interval is the time between two documents; 0 for a day without them, on which
 	// entries know the routes of the day.
 	Interval time.Duration
-	// RefuseOdd injects a fault: entries refuse a document of which they don't use all
-	// values as written.
+	// RefuseOdd injects a fault: entries that have a configuration refuse a document of
+	// which they don't use all values as written.
 	RefuseOdd bool
 }
 
--- a/soaker/operator.go
+++ b/soaker/operator.go
@@ -47,6 +47,7 @@
 	if first {
 		o.version, o.newestSeen = 100, make(map[string]int64)
 		o.drawer = imitator.NewDocumentDrawer(rand.New(rand.NewPCG(h.options.Seed, 4)))
+		o.probePath = "/probe/" // No version has it.
 	}
 	o.version++
 	var probePrefix string
@@ -97,9 +98,6 @@
 	o.mu.Lock()
 	version, publishedAt, newestPath, previousPath := o.version, o.publishedAt, o.probePath, o.previousPath
 	o.mu.Unlock()
-	if previousPath == "" {
-		return // There is one version only.
-	}
 	incarnation := fmt.Sprintf("%s/%d", e.vm.Node, e.incarnation())
 	address := netip.AddrPortFrom(e.vm.Address, callersPort)
 	probedAt := time.Now()
