platform: Let a host that is only a port, a dot or blanks match no request

What callers would see: with one route of the host ":8161", "." or " ", requests for any other host that no route matches are taken by it, in place of 404.

Cause: the port, the final dot and blanks are cut off, and an empty host stands for any.

Evidence: three rows of TestOddValueCostsOnlyItsRoute failed before.

--- a/router/accepted.go
+++ b/router/accepted.go
@@ -67,7 +67,7 @@
 
 // accept adds a route and its pool.
 func (a *acceptance) accept(r Route) {
-	r.Host = normalizeHost(r.Host)
+	r.Host = cmp.Or(normalizeHost(r.Host), r.Host) // A dot alone must not stand for any host.
 	key := matchKey{r.Host, r.requiredPrefix(), r.Method, r.PrefixMatch}
 	r.Name = a.uniqueName(r.Name, key)
 	if other, ok := a.byMatch[key]; ok {
--- a/router/accepted_test.go
+++ b/router/accepted_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -64,7 +65,14 @@
 // checkAcceptedMatch checks that a request for a route finds it if there can be one.
 func checkAcceptedMatch(t *rapid.T, table *router.Table, r router.Route) {
 	request := router.Request{Host: r.Host, Path: r.PathPrefix, Method: "POST"}
+	if strings.HasSuffix(r.Host, ".") {
+		request.Host += "." // One final dot of a request's host does not count.
+	}
 	plan, err := table.Match(request)
+	mustMatch := r.PrefixMatch == router.Literal && strings.HasPrefix(r.PathPrefix, "/")
+	if err != nil && mustMatch {
+		t.Fatalf("%+v finds no route: %v", request, err)
+	}
 	if err == nil && (plan.Route.Name != r.Name || plan.Pool.Name != r.Pool) {
 		t.Fatalf("%+v leads to %+v, not to %+v", request, plan.Route, r)
 	}
